--- /dev/null
+++ b/gullmount/benchlink/__init__.py
@@ -0,0 +1,1 @@
+"""The bench's wire: JSON lines in, calls on umpires, JSON lines out."""
--- /dev/null
+++ b/gullmount/interface.py
@@ -0,0 +1,144 @@
+"""Types shared by the decision module and whatever feeds it. Nothing here decides anything.
+
+Times are float seconds, ids are kept as the host gives them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+
+class Outcome(Enum):
+    """How an upstream try ended."""
+
+    COMPLETED = "completed"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect_failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    MOOT = "moot"
+
+
+class Verdict(Enum):
+    NONE = "none"
+    ON = "on"
+    HOLD = "hold"
+    BACK = "back"
+
+
+class Phase(Enum):
+    ON_TRIAL = "on_trial"
+    GOING_BACK = "going_back"
+    RELEASED = "released"
+    WITHDRAWN = "withdrawn"
+
+
+class Repeats(Enum):
+    """What a route allows once an upstream try may have run."""
+
+    RETRIABLE = "retriable"
+    DEDUPED = "deduped"
+    NON_RETRIABLE = "non_retriable"
+
+
+class Group(Enum):
+    """Which boxes drop a repeat of a deduped req."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class BoxState(Enum):
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(Enum):
+    CHANGES = "changes"
+    FULL = "full"
+    REMEMBERED = "remembered"
+    REFUSED = "refused"
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    name: str
+    objective: float
+    repeats: Repeats
+    group: Group
+    dedupe_window: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseTerms:
+    """How builds are offered and what votes bring about."""
+
+    caps: Sequence[float]
+    shares: Sequence[float]
+    beside: bool
+    by_route: bool
+    closed_stages: int
+    one_way: bool
+    window: float
+    spare_tries: float
+    timed: bool
+    vote_life: float
+
+
+@dataclass(frozen=True, slots=True)
+class Grounds:
+    """All that an umpire is told at its start."""
+
+    seed: int
+    routes: Mapping[str, Route]
+    release: ReleaseTerms
+    zone: str
+    drain_grace: float
+    cold_share: float
+    warm_time: float
+    tip_multiple: float
+    tip_time: float
+    max_tries: int
+    parallel_tries: bool
+    may_subscribe: bool
+    max_retry_after: float
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """One box as the list shows it."""
+
+    box: str
+    zone: str
+    cell: int
+    build: int
+    state: BoxState
+    power: float
+    started: float
+
+
+class Host(Protocol):
+    """What an umpire may ask of the program around it."""
+
+    def now(self) -> float: ...
+
+    def send(self, req: str, box: str, patience: float) -> None: ...
+
+    def cancel(self, req: str, upstream_try: int) -> None: ...
+
+    def shed(self, req: str, retry_after: float) -> None: ...
+
+    def error(self, req: str) -> None: ...
+
+    def call_after(self, delay: float, callback: Callable[[], None]) -> None: ...
+
+    def vote(self, build: int, stage: int, verdict: Verdict) -> None: ...
+
+    def subscribe(self) -> None: ...
--- /dev/null
+++ b/gullmount/policy.py
@@ -0,0 +1,502 @@
+"""Every decision of gullmount: which box a req goes to, when it is given up, how builds are voted on.
+
+How to call it: make one `Umpire(host, grounds)` for each instance; the types and what is asked of the host
+are in gullmount/interface.py. `umpire.take(...)` returns a `Req`; all that later happens to the req is a
+call on it (`ended`, `begun`, `left`). News about boxes, builds and counts goes to `listed`, `news`,
+`vote_failed` and `tallied`. Answers leave through the host at once, in the same call.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import defaultdict, deque
+from collections.abc import Iterable, Sequence
+from hashlib import blake2b
+from statistics import median
+
+from gullmount.interface import (
+    BoxState,
+    Grounds,
+    Group,
+    Host,
+    Listed,
+    ListKind,
+    Outcome,
+    Phase,
+    Repeats,
+    Route,
+    Verdict,
+)
+
+# The split (design page)
+CAP_USE = 0.8  # of the cap; the rest is room for chance and further tries
+RAMP = 3.0  # s from the old share to the new one after the stage's boxes are listed
+CROWD = 1.25  # times a usual box's load that a build's warm boxes may be given by the split
+
+# The judge (design page)
+FAIL_MARGIN = 0.02  # failures more, as a share, that send a build back
+FAIL_LEAST = 3  # failures that must have been seen for that
+SLOW_RATIO = 1.5  # times the other build's median time that sends a build back
+SLOW_LEAST = 20  # outcomes that the median needs
+CLEAN_LEAST = 5  # outcomes without a failure that allow a vote to move on
+SETTLE = 3.0  # s after the newest start before a vote to move on
+YOUNG = 5.0  # s after a start in which a box's times say nothing
+SIGHT = 10.0  # s of outcomes compared; long enough for small umpires, short enough to see a late onset
+JUDGE_EVERY = 0.25  # s between looks at the evidence
+RENEW = 5.0  # s between renewals of a vote, where it lives that long
+RENEW_LIFE = 0.5  # of a vote's life, so that one lost renewal does not let it lapse
+
+# Health and waiting
+SMOOTH = 0.2  # weight of the newest outcome in a box's running time
+EJECT_AFTER = 2  # failures to answer in a row that take a box out
+EJECT_FOR = 1.0  # s out at first; doubles
+EJECT_MOST = 8.0  # s; a box that is back is found within this time
+FIRST_TIME = 0.1  # s taken for a box's time before any outcome
+TRY_OBJECTIVE = 1.0  # latency objectives that a try may take while another could follow
+RETRY_RATIO = 0.2  # further tries for each req taken: overload must not amplify
+RETRY_ROOM = 10.0  # further tries saved up at most
+COME_BACK = 0.25  # s asked of a client that is shed: about the time a jam of one objective needs to move
+ASK_AGAIN = 1.0  # s before a list that refused is asked again; doubles, with jitter
+ASK_MOST = 4.0  # s
+RATE_OVER = 5.0  # s over which the rate of reqs is taken
+
+
+def place(key: str) -> float:
+    """The key's stable number from 0 to 1, the same at every umpire and after every restart."""
+    return int.from_bytes(blake2b(key.encode(), digest_size=8).digest()) / 2**64
+
+
+class Try:
+    """Lives as long as one upstream try."""
+
+    __slots__ = ("box", "sent")
+
+    def __init__(self, box: Box, sent: float) -> None:
+        self.box = box
+        self.sent = sent
+
+
+class Box:
+    """Lives as long as the box is listed."""
+
+    __slots__ = (
+        "id", "zone", "cell", "build", "ready", "power", "started", "open", "time", "failing",
+        "out_until", "out_for", "credit", "credited", "order",
+    )
+
+    def __init__(self, line: Listed, order: float) -> None:
+        self.id = line.box
+        self.started = -1.0
+        self.order = order
+        self.open = 0
+        self.update(line, 0.0)
+
+    def update(self, line: Listed, now: float) -> None:
+        if line.build != getattr(self, "build", None) or line.started != self.started:
+            self.time = FIRST_TIME
+            self.failing = 0
+            self.out_until = 0.0
+            self.out_for = EJECT_FOR
+            self.credit = self.order
+            self.credited = now
+        self.zone = line.zone
+        self.cell = line.cell
+        self.build = line.build
+        self.ready = line.state is BoxState.READY
+        self.power = line.power or 1.0
+        self.started = line.started
+
+    def age(self, now: float) -> float:
+        return now - self.started if self.started > 0 else now
+
+
+class Req:
+    """The handle of one taken req; lives until its last try has ended."""
+
+    __slots__ = (
+        "umpire", "id", "route", "give_up", "key", "taken", "tries", "open_tries", "settled",
+        "hash", "may_have_run", "group_of", "group_until",
+    )
+
+    def __init__(self, umpire: Umpire, req_id: str, route: Route, give_up: float, key: str | None) -> None:
+        self.umpire = umpire
+        self.id = req_id
+        self.route = route
+        self.give_up = give_up
+        self.key = key
+        self.taken = umpire.host.now()
+        self.tries: list[Try] = []
+        self.open_tries: set[int] = set()
+        self.settled = False
+        self.may_have_run = False
+        self.group_of: Box | None = None
+        self.group_until = 0.0
+        self.hash = place(key or req_id)
+
+    def ended(self, number: int, outcome: Outcome, latency: float, final: bool) -> None:
+        """A try ended; `final` says that the req is over, by this outcome or earlier."""
+        self.umpire.try_ended(self, number, outcome, latency, final)
+
+    def begun(self, number: int) -> None:
+        """A streamed answer has started: the rest of it belongs to the client."""
+
+    def left(self) -> None:
+        """The client left; nothing is owed any more."""
+        self.settled = True
+
+
+class Ledger:
+    """Sends at one build on trial against the reqs taken, in the trailing window, for one count."""
+
+    __slots__ = ("reqs", "sends")
+
+    def __init__(self) -> None:
+        self.reqs: deque[float] = deque()
+        self.sends: dict[int, deque[float]] = defaultdict(deque)
+
+    def room(self, build: int, cap: float, spare: float, since: float) -> bool:
+        sends = self.sends[build]
+        while self.reqs and self.reqs[0] <= since:
+            self.reqs.popleft()
+        while sends and sends[0] < since:
+            sends.popleft()
+        return len(sends) + 1 <= spare + cap * len(self.reqs)
+
+
+class Umpire:
+    """Lives as long as the instance."""
+
+    def __init__(self, host: Host, grounds: Grounds) -> None:
+        self.host = host
+        self.grounds = grounds
+        self.release = grounds.release
+        self.random = random.Random(grounds.seed).random
+        self.boxes: dict[str, Box] = {}
+        self.born = host.now()
+        self.taken: deque[float] = deque()
+        self.retries = RETRY_ROOM
+        self.ask_again = ASK_AGAIN
+        # What the last news said of the newest build
+        self.build = -1
+        self.stage = 0
+        self.phase = Phase.RELEASED
+        self.cap = self.release.caps[0]
+        # The split
+        self.ledgers: dict[str, Ledger] = defaultdict(Ledger)
+        self.share = 0.0
+        self.share_at = self.born
+        self.met: dict[str, int] = {}
+        self.failing: set[str] = set()
+        # The judge
+        self.seen: dict[tuple[int, str], deque[tuple[float, float, bool]]] = defaultdict(deque)
+        self.verdict = Verdict.NONE
+        self.voted_at = 0.0
+        if grounds.may_subscribe:
+            host.subscribe()
+        host.call_after(JUDGE_EVERY, self.judge)
+
+    # News
+
+    def listed(self, kind: ListKind, lines: Iterable[Listed]) -> None:
+        """The list of boxes, or what changed in it."""
+        now = self.host.now()
+        if kind is ListKind.REFUSED:
+            self.host.call_after(self.ask_again * (0.5 + self.random()), self.host.subscribe)
+            self.ask_again = min(ASK_MOST, self.ask_again * 2)
+            return
+        if kind is ListKind.FULL:
+            named = {line.box for line in lines}
+            for box in [box for box in self.boxes.values() if box.id not in named]:
+                del self.boxes[box.id]
+        for line in lines:
+            if line.state is BoxState.GONE:
+                self.boxes.pop(line.box, None)
+            elif line.box in self.boxes:
+                self.boxes[line.box].update(line, now)
+            else:
+                self.boxes[line.box] = Box(line, self.random())
+
+    def news(
+        self, build: int, stage: int, phase: Phase, cap: float, age: float, *, answers_vote: bool
+    ) -> None:
+        """The state of the newest build. A state that is older than the one held changes nothing."""
+        if build < self.build:
+            return
+        if build != self.build or phase is not self.phase or stage != self.stage:
+            self.verdict = Verdict.NONE
+        if build != self.build:
+            self.share = 0.0
+            self.failing = set()
+        if phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
+            self.met = {key: met for key, met in self.met.items() if met != build}
+        self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
+
+    def vote_failed(self, *, unanswered: bool) -> None:
+        """The last vote got no good answer: the next look at the evidence casts it again."""
+        self.verdict = Verdict.NONE
+
+    def tallied(self, build: int, route: str, count: int, failed: int, mean: float, age: float) -> None:
+        """What the platform counted in a sample of all upstream tries."""
+
+    # Reqs
+
+    def take(self, req_id: str, route: str, give_up: float, key: str | None) -> Req:
+        now = self.host.now()
+        req = Req(self, req_id, self.grounds.routes[route], give_up, key)
+        self.taken.append(now)
+        while self.taken[0] < now - RATE_OVER:
+            self.taken.popleft()
+        self.ledger(req).reqs.append(now)
+        self.retries = min(RETRY_ROOM, self.retries + RETRY_RATIO)
+        self.advance(req)
+        return req
+
+    def try_ended(self, req: Req, number: int, outcome: Outcome, latency: float, final: bool) -> None:
+        now = self.host.now()
+        made = req.tries[number]
+        req.open_tries.discard(number)
+        made.box.open -= 1
+        self.note_health(made.box, outcome, latency, now)
+        self.note_evidence(req, made, outcome, latency, now)
+        if outcome is Outcome.COMPLETED and req.key is not None and self.phase in (
+            Phase.ON_TRIAL, Phase.RELEASED
+        ):
+            self.met[req.key] = max(made.box.build, self.met.get(req.key, -1))
+        if final:
+            req.settled = True
+        if outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
+            self.note_may_have_run(req, made)
+        if not req.settled and not req.open_tries:
+            self.advance(req)
+
+    def note_may_have_run(self, req: Req, made: Try) -> None:
+        req.may_have_run = True
+        if req.group_of is None:
+            req.group_of = made.box
+            req.group_until = made.sent + req.route.dedupe_window
+
+    def advance(self, req: Req) -> None:
+        """Send the req on, or end it at once: a req that is given up is never sat on."""
+        now = self.host.now()
+        box = None
+        if now < req.give_up and (not req.tries or self.retries >= 1):
+            box = self.pick(req, now)
+        if box is not None:
+            self.send(req, box, now)
+        elif self.may_shed(req):
+            req.settled = True
+            self.host.shed(req.id, min(COME_BACK, self.grounds.max_retry_after))
+        else:
+            req.settled = True
+            self.host.error(req.id)
+
+    def send(self, req: Req, box: Box, now: float) -> None:
+        if req.tries:
+            self.retries -= 1
+        left = req.give_up - now
+        patience = left
+        could_follow = req.route.repeats is not Repeats.NON_RETRIABLE
+        if could_follow and len(req.tries) + 1 < self.grounds.max_tries:
+            patience = max(left / 2, min(left, TRY_OBJECTIVE * req.route.objective))
+        self.ledger(req).sends[box.build].append(now)
+        box.credit -= 1
+        box.open += 1
+        req.open_tries.add(len(req.tries))
+        req.tries.append(Try(box, now))
+        self.host.send(req.id, box.id, patience)
+
+    def may_shed(self, req: Req) -> bool:
+        if req.open_tries:
+            return req.route.repeats is Repeats.RETRIABLE
+        if not req.may_have_run or req.route.repeats is Repeats.RETRIABLE:
+            return True
+        return req.route.repeats is Repeats.DEDUPED and req.route.group is Group.ALL
+
+    # The gate: every send passes it, and it alone holds the rules
+
+    def ledger(self, req: Req) -> Ledger:
+        return self.ledgers[req.route.name if self.release.by_route else ""]
+
+    def on_trial(self, build: int) -> bool:
+        return build > self.build or (build == self.build and self.phase is not Phase.RELEASED)
+
+    def allowed(self, req: Req, box: Box, now: float) -> bool:
+        if not box.ready or len(req.tries) >= self.grounds.max_tries or req.settled:
+            return False
+        if req.open_tries and not self.grounds.parallel_tries:
+            return False
+        return (
+            self.repeat_allowed(req, box, now)
+            and self.build_allowed(req, box, now)
+            and self.warm_enough(box, now)
+        )
+
+    def repeat_allowed(self, req: Req, box: Box, now: float) -> bool:
+        route = req.route
+        unknown = req.may_have_run or bool(req.open_tries)
+        if not unknown or route.repeats is Repeats.RETRIABLE:
+            return True
+        if route.repeats is Repeats.NON_RETRIABLE:
+            return False
+        first = req.group_of or req.tries[min(req.open_tries)].box
+        until = req.group_until or req.tries[min(req.open_tries)].sent + route.dedupe_window
+        if now >= until:
+            return False
+        if route.group is Group.ZONE:
+            return box.zone == first.zone
+        return route.group is Group.ALL or box.cell == first.cell
+
+    def build_allowed(self, req: Req, box: Box, now: float) -> bool:
+        if self.release.one_way and req.key is not None and self.met.get(req.key, -1) > box.build:
+            return False
+        if not self.on_trial(box.build):
+            return True
+        unannounced = box.build > self.build
+        cap = self.release.caps[0] if unannounced else self.cap
+        stage = 0 if unannounced else self.stage
+        if cap <= 0 or (stage < self.release.closed_stages and req.route.repeats is not Repeats.RETRIABLE):
+            return False
+        since = now - self.release.window
+        return self.ledger(req).room(box.build, cap, self.release.spare_tries, since)
+
+    def warmth(self, box: Box, now: float) -> float:
+        """The least share of its capacity that the box can have by now."""
+        cold = self.grounds.cold_share
+        return min(1.0, cold + (1 - cold) * max(0.0, box.age(now)) / self.grounds.warm_time)
+
+    def warm_enough(self, box: Box, now: float) -> bool:
+        """Slow start: a cold box gets at most its warmth's part of what a usual box gets from this umpire.
+
+        Other umpires do the same by their own traffic, so together they stay below the multiple that tips.
+        """
+        warmth = self.warmth(box, now)
+        if warmth >= 1:
+            return True
+        rate = len(self.taken) / max(1.0, min(RATE_OVER, now - self.born))
+        usual = rate / max(1, self.places())
+        box.credit = min(2.0, box.credit + (now - box.credited) * usual * warmth * self.grounds.tip_multiple / 2)
+        box.credited = now
+        return box.credit >= 1
+
+    # The split and the rotation
+
+    def places(self) -> int:
+        ready = [box for box in self.boxes.values() if box.ready]
+        if self.release.beside:
+            earlier = sum(1 for box in ready if not self.on_trial(box.build))
+            return earlier or len(ready)
+        return len(ready)
+
+    def update_share(self, now: float) -> None:
+        """The share moves toward 0.8 of the cap, over the ramp, as far as the listed boxes can carry it."""
+        trial = [box for box in self.boxes.values() if box.ready and self.on_trial(box.build)]
+        places = self.places()
+        announced = [box for box in trial if box.build == self.build]
+        cap = self.cap if announced else self.release.caps[0]
+        aim = CAP_USE * cap
+        carry = sum(self.warmth(box, now) for box in trial if box.out_until <= now)
+        aim = min(aim, CROWD * carry / max(1, places))
+        earlier = places if self.release.beside else places - len(trial)
+        if trial and cap >= 1:
+            aim = max(aim, carry / max(1, carry + earlier))
+        step = (now - self.share_at) / RAMP * CAP_USE * cap
+        self.share = aim if aim <= self.share else min(aim, self.share + step)
+        self.share_at = now
+
+    def pick(self, req: Req, now: float) -> Box | None:
+        """The box for the req's next try: the hash picks the build, the shortest expected wait the box."""
+        self.update_share(now)
+        allowed = [box for box in self.boxes.values() if self.allowed(req, box, now)]
+        if not allowed:
+            return None
+        tried = {made.box.id for made in req.tries}
+        wants_trial = req.hash < self.share and req.route.name not in self.failing
+        if req.key is not None and self.met.get(req.key, -1) == self.build:
+            wants_trial = True
+        if req.tries and self.on_trial(req.tries[-1].box.build):
+            wants_trial = False
+
+        def cost(box: Box) -> tuple[bool, bool, bool, float]:
+            return (
+                box.id in tried,
+                box.out_until > now or (box.failing >= EJECT_AFTER and box.open > 0),
+                self.on_trial(box.build) is not wants_trial,
+                (box.open + 1) * box.time / (box.power * self.warmth(box, now)) * (1 + 0.1 * self.random()),
+            )
+
+        return min(allowed, key=cost)
+
+    def note_health(self, box: Box, outcome: Outcome, latency: float, now: float) -> None:
+        if outcome in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT, Outcome.RESET):
+            box.failing += 1
+            if box.failing >= EJECT_AFTER and box.out_until <= now:
+                box.out_until = now + box.out_for * (0.75 + 0.5 * self.random())
+                box.out_for = min(EJECT_MOST, box.out_for * 2)
+        elif outcome in (Outcome.COMPLETED, Outcome.ERROR):
+            box.failing = 0
+            box.out_until = 0.0
+            box.out_for = EJECT_FOR
+        if outcome in (Outcome.COMPLETED, Outcome.TIMEOUT):
+            box.time += SMOOTH * (latency - box.time)
+
+    # The judge
+
+    def note_evidence(self, req: Req, made: Try, outcome: Outcome, latency: float, now: float) -> None:
+        if outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.TIMEOUT):
+            young = made.box.age(made.sent) < YOUNG
+            time = -1.0 if young or outcome is Outcome.ERROR else latency
+            self.seen[made.box.build, req.route.name].append((now, time, outcome is Outcome.ERROR))
+
+    def judge(self) -> None:
+        """Compare both builds for each route over the same seconds and vote."""
+        self.host.call_after(JUDGE_EVERY, self.judge)
+        now = self.host.now()
+        for outcomes in self.seen.values():
+            while outcomes and outcomes[0][0] < now - SIGHT:
+                outcomes.popleft()
+        if self.phase not in (Phase.ON_TRIAL, Phase.RELEASED):
+            return
+        bad, clean, failures = False, 0, 0
+        for route in self.grounds.routes:
+            cand = self.seen[self.build, route]
+            since = cand[0][0] if cand else now
+            base = [
+                seen for (build, name), outcomes in self.seen.items()
+                if build < self.build and name == route for seen in outcomes if seen[0] >= since
+            ]
+            if self.is_worse(cand, base):
+                self.failing.add(route)
+                bad = True
+            failed = sum(failure for _, _, failure in cand)
+            failures += failed
+            clean += len(cand) - failed
+        if bad:
+            self.cast(Verdict.BACK, now)
+        elif self.phase is Phase.ON_TRIAL and not self.release.timed:
+            newest = [box.age(now) for box in self.boxes.values() if box.build == self.build and box.ready]
+            settled = bool(newest) and min(newest) >= SETTLE
+            enough = clean >= SLOW_LEAST or (clean >= CLEAN_LEAST and not failures)
+            if settled and enough:
+                self.cast(Verdict.ON, now)
+
+    def is_worse(
+        self, cand: Sequence[tuple[float, float, bool]], base: Sequence[tuple[float, float, bool]]
+    ) -> bool:
+        if not cand:
+            return False
+        failed = sum(failure for _, _, failure in cand)
+        base_share = sum(failure for _, _, failure in base) / len(base) if base else 0.0
+        if failed >= FAIL_LEAST and failed / len(cand) > base_share + FAIL_MARGIN:
+            return True
+        times = [time for _, time, _ in cand if time >= 0]
+        base_times = [time for _, time, _ in base if time >= 0]
+        if len(times) < SLOW_LEAST or len(base_times) < SLOW_LEAST:
+            return False
+        return median(times) > SLOW_RATIO * median(base_times)
+
+    def cast(self, verdict: Verdict, now: float) -> None:
+        renew = min(RENEW, RENEW_LIFE * self.release.vote_life)
+        if verdict is not self.verdict or now - self.voted_at >= renew:
+            self.verdict = verdict
+            self.voted_at = now
+            self.host.vote(self.build, self.stage, verdict)
