--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -80,8 +80,21 @@
     """Lives as long as the box is listed."""
 
     __slots__ = (
-        "id", "zone", "cell", "build", "ready", "power", "started", "open", "time", "failing",
-        "out_until", "out_for", "credit", "credited", "order",
+        "build",
+        "cell",
+        "credit",
+        "credited",
+        "failing",
+        "id",
+        "open",
+        "order",
+        "out_for",
+        "out_until",
+        "power",
+        "ready",
+        "started",
+        "time",
+        "zone",
     )
 
     def __init__(self, line: Listed, order: float) -> None:
@@ -114,8 +127,19 @@
     """The handle of one taken req; lives until its last try has ended."""
 
     __slots__ = (
-        "umpire", "id", "route", "give_up", "key", "taken", "tries", "open_tries", "settled",
-        "hash", "may_have_run", "group_of", "group_until",
+        "give_up",
+        "group_of",
+        "group_until",
+        "hash",
+        "id",
+        "key",
+        "may_have_run",
+        "open_tries",
+        "route",
+        "settled",
+        "taken",
+        "tries",
+        "umpire",
     )
 
     def __init__(self, umpire: Umpire, req_id: str, route: Route, give_up: float, key: str | None) -> None:
