--- a/gullmount/benchlink/link.py
+++ b/gullmount/benchlink/link.py
@@ -7,7 +7,7 @@
 
 import json
 from collections.abc import Callable
-from typing import Any, BinaryIO
+from typing import Any, BinaryIO, ClassVar
 
 from gullmount.interface import (
     BoxState,
@@ -206,7 +206,7 @@
     def on_ignored(self, event: dict[str, Any]) -> None:
         """Events that no decision uses yet."""
 
-    HANDLERS = {
+    HANDLERS: ClassVar = {
         "NewRequest": on_new_request,
         "Result": on_result,
         "Due": on_due,
--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -9,9 +9,11 @@
 from __future__ import annotations
 
 import random
+from bisect import bisect_left, bisect_right
 from collections import defaultdict, deque
 from collections.abc import Iterable, Sequence
 from hashlib import blake2b
+from math import sqrt
 from statistics import median
 
 from gullmount.interface import (
@@ -38,6 +40,7 @@
 FAIL_LEAST = 3  # failures that must have been seen for that
 SLOW_RATIO = 1.5  # times the other build's median time that sends a build back
 SLOW_LEAST = 20  # outcomes that the median needs
+SLOW_Z = 3.5  # standard errors of the rank test: the median of few, looked at often, strays by half
 CLEAN_LEAST = 5  # outcomes without a failure that allow a vote to move on
 SETTLE = 3.0  # s after the newest start before a vote to move on
 YOUNG = 5.0  # s after a start in which a box's times say nothing
@@ -66,6 +69,14 @@
     return int.from_bytes(blake2b(key.encode(), digest_size=8).digest()) / 2**64
 
 
+def rank_z(high: Sequence[float], low: Sequence[float]) -> float:
+    """How many standard errors the times in `high` rank above those in `low` (Mann-Whitney)."""
+    ordered = sorted(low)
+    wins = sum((bisect_left(ordered, time) + bisect_right(ordered, time)) / 2 for time in high)
+    n, m = len(high), len(low)
+    return (wins - n * m / 2) / sqrt(n * m * (n + m + 1) / 12)
+
+
 class Try:
     """Lives as long as one upstream try."""
 
@@ -398,7 +409,8 @@
             return True
         rate = len(self.taken) / max(1.0, min(RATE_OVER, now - self.born))
         usual = rate / max(1, self.places())
-        box.credit = min(2.0, box.credit + (now - box.credited) * usual * warmth * self.grounds.tip_multiple / 2)
+        earned = (now - box.credited) * usual * warmth * self.grounds.tip_multiple / 2
+        box.credit = min(2.0, box.credit + earned)
         box.credited = now
         return box.credit >= 1
 
@@ -516,7 +528,7 @@
         base_times = [time for _, time, _ in base if time >= 0]
         if len(times) < SLOW_LEAST or len(base_times) < SLOW_LEAST:
             return False
-        return median(times) > SLOW_RATIO * median(base_times)
+        return median(times) > SLOW_RATIO * median(base_times) and rank_z(times, base_times) > SLOW_Z
 
     def cast(self, verdict: Verdict, now: float) -> None:
         renew = min(RENEW, RENEW_LIFE * self.release.vote_life)
