--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -61,7 +61,7 @@
 COME_BACK = 0.25  # s asked of a client that is shed: about the time a jam of one objective needs to move
 ASK_AGAIN = 1.0  # s before a list that refused is asked again; doubles, with jitter
 ASK_MOST = 4.0  # s
-RATE_OVER = 5.0  # s over which the rate of reqs is taken
+RATE_OVER = 5.0  # s over which the rate of answers is taken; long enough for umpires with a few a second
 
 
 def place(key: str) -> float:
@@ -208,7 +208,7 @@
         self.random = random.Random(grounds.seed).random
         self.boxes: dict[str, Box] = {}
         self.born = host.now()
-        self.taken: deque[float] = deque()
+        self.answered: deque[float] = deque()
         self.retries = RETRY_ROOM
         self.ask_again = ASK_AGAIN
         # What the last news said of the newest build
@@ -278,9 +278,6 @@
     def take(self, req_id: str, route: str, give_up: float, key: str | None) -> Req:
         now = self.host.now()
         req = Req(self, req_id, self.grounds.routes[route], give_up, key)
-        self.taken.append(now)
-        while self.taken[0] < now - RATE_OVER:
-            self.taken.popleft()
         self.ledger(req).reqs.append(now)
         self.retries = min(RETRY_ROOM, self.retries + RETRY_RATIO)
         self.advance(req)
@@ -299,6 +296,8 @@
             self.met[req.key] = max(made.box.build, self.met.get(req.key, -1))
         if final:
             req.settled = True
+        if outcome is Outcome.COMPLETED:
+            self.answered.append(now)
         if outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
             self.note_may_have_run(req, made)
         if not req.settled and not req.open_tries:
@@ -403,14 +402,18 @@
         """Slow start: a cold box gets at most its warmth's part of what a usual box gets from this umpire.
 
         Other umpires do the same by their own traffic, so together they stay below the multiple that tips.
+        Counted by answers, not reqs taken: in a jam clients repeat themselves and an idle cold box looks
+        best to all at once. Harm: after a jam a box that returns is filled slowly.
         """
         warmth = self.warmth(box, now)
         if warmth >= 1:
             return True
-        rate = len(self.taken) / max(1.0, min(RATE_OVER, now - self.born))
+        while self.answered and self.answered[0] < now - RATE_OVER:
+            self.answered.popleft()
+        rate = len(self.answered) / max(1.0, min(RATE_OVER, now - self.born))
         usual = rate / max(1, self.places())
         earned = (now - box.credited) * usual * warmth * self.grounds.tip_multiple / 2
-        box.credit = min(2.0, box.credit + earned)
+        box.credit = min(1.0, box.credit + earned)
         box.credited = now
         return box.credit >= 1
 
