--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -56,6 +56,12 @@
 EJECT_MOST = 8.0  # s; a box that is back is found within this time
 FIRST_TIME = 0.1  # s taken for a box's time before any outcome
 TRY_OBJECTIVE = 1.0  # latency objectives that a try may take while another could follow
+LATE = 0.7  # of the latency objective: slower answers say that too much is out
+WIDTH = 4.0  # tries out a box at first, by one umpire; above need, so that a calm start is not held back
+WIDTH_UP = 0.03  # tries a box more after each answer in time, while half the width is used
+WIDTH_CUT = 0.8  # times the width after a late answer
+CUT_EVERY = 0.25  # s between cuts: about the time in which a cut shows in the answers
+WIDTH_LEAST = 0.15  # tries a box that are always allowed
 RETRY_RATIO = 0.2  # further tries for each req taken: overload must not amplify
 RETRY_ROOM = 10.0  # further tries saved up at most
 COME_BACK = 0.25  # s asked of a client that is shed: about the time a jam of one objective needs to move
@@ -80,34 +86,15 @@
 class Try:
     """Lives as long as one upstream try."""
 
-    __slots__ = ("box", "sent")
-
     def __init__(self, box: Box, sent: float) -> None:
         self.box = box
+        self.build = box.build
         self.sent = sent
 
 
 class Box:
     """Lives as long as the box is listed."""
 
-    __slots__ = (
-        "build",
-        "cell",
-        "credit",
-        "credited",
-        "failing",
-        "id",
-        "open",
-        "order",
-        "out_for",
-        "out_until",
-        "power",
-        "ready",
-        "started",
-        "time",
-        "zone",
-    )
-
     def __init__(self, line: Listed, order: float) -> None:
         self.id = line.box
         self.started = -1.0
@@ -137,22 +124,6 @@
 class Req:
     """The handle of one taken req; lives until its last try has ended."""
 
-    __slots__ = (
-        "give_up",
-        "group_of",
-        "group_until",
-        "hash",
-        "id",
-        "key",
-        "may_have_run",
-        "open_tries",
-        "route",
-        "settled",
-        "taken",
-        "tries",
-        "umpire",
-    )
-
     def __init__(self, umpire: Umpire, req_id: str, route: Route, give_up: float, key: str | None) -> None:
         self.umpire = umpire
         self.id = req_id
@@ -183,8 +154,6 @@
 class Ledger:
     """Sends at one build on trial against the reqs taken, in the trailing window, for one count."""
 
-    __slots__ = ("reqs", "sends")
-
     def __init__(self) -> None:
         self.reqs: deque[float] = deque()
         self.sends: dict[int, deque[float]] = defaultdict(deque)
@@ -198,6 +167,28 @@
         return len(sends) + 1 <= spare + cap * len(self.reqs)
 
 
+class Width:
+    """How many tries an umpire may have out at the boxes of one build, for each box.
+
+    Guards against jams of any cause (too many reqs, too few or slow boxes, repeats by clients): once answers
+    come late more tries only make all later, and without a bound the jam outlives its cause. Also covers a
+    build whose boxes are jammed alone. Harm: a route whose usual work comes near its objective is held back.
+    """
+
+    def __init__(self) -> None:
+        self.width = WIDTH
+        self.open = 0
+        self.cut_at = 0.0
+
+    def note(self, late: bool, boxes: int, now: float) -> None:
+        if late:
+            if now - self.cut_at >= CUT_EVERY:
+                self.width = max(WIDTH_LEAST, min(self.width, (self.open + 1) / max(1, boxes)) * WIDTH_CUT)
+                self.cut_at = now
+        elif self.open >= self.width * boxes / 2:
+            self.width = min(WIDTH, self.width + WIDTH_UP)
+
+
 class Umpire:
     """Lives as long as the instance."""
 
@@ -210,6 +201,7 @@
         self.born = host.now()
         self.answered: deque[float] = deque()
         self.retries = RETRY_ROOM
+        self.widths: dict[int, Width] = defaultdict(Width)
         self.ask_again = ASK_AGAIN
         # What the last news said of the newest build
         self.build = -1
@@ -290,10 +282,15 @@
         made.box.open -= 1
         self.note_health(made.box, outcome, latency, now)
         self.note_evidence(req, made, outcome, latency, now)
+        width = self.widths[made.build]
+        width.open -= 1
+        if outcome in (Outcome.COMPLETED, Outcome.TIMEOUT, Outcome.FULL):
+            late = outcome is not Outcome.COMPLETED or latency > LATE * req.route.objective
+            width.note(late, self.in_service(made.build, now), now)
         if outcome is Outcome.COMPLETED and req.key is not None and self.phase in (
             Phase.ON_TRIAL, Phase.RELEASED
         ):
-            self.met[req.key] = max(made.box.build, self.met.get(req.key, -1))
+            self.met[req.key] = max(made.build, self.met.get(req.key, -1))
         if final:
             req.settled = True
         if outcome is Outcome.COMPLETED:
@@ -335,6 +332,7 @@
         self.ledger(req).sends[box.build].append(now)
         box.credit -= 1
         box.open += 1
+        self.widths[box.build].open += 1
         req.open_tries.add(len(req.tries))
         req.tries.append(Try(box, now))
         self.host.send(req.id, box.id, patience)
@@ -419,6 +417,13 @@
 
     # The split and the rotation
 
+    def in_service(self, build: int, now: float) -> int:
+        return sum(box.ready and box.build == build and box.out_until <= now for box in self.boxes.values())
+
+    def has_room(self, build: int, now: float) -> bool:
+        width = self.widths[build]
+        return width.open < max(1.0, width.width * self.in_service(build, now))
+
     def places(self) -> int:
         ready = [box for box in self.boxes.values() if box.ready]
         if self.release.beside:
@@ -445,14 +450,15 @@
     def pick(self, req: Req, now: float) -> Box | None:
         """The box for the req's next try: the hash picks the build, the shortest expected wait the box."""
         self.update_share(now)
-        allowed = [box for box in self.boxes.values() if self.allowed(req, box, now)]
+        roomy = {build: self.has_room(build, now) for build in {box.build for box in self.boxes.values()}}
+        allowed = [box for box in self.boxes.values() if roomy[box.build] and self.allowed(req, box, now)]
         if not allowed:
             return None
         tried = {made.box.id for made in req.tries}
         wants_trial = req.hash < self.share and req.route.name not in self.failing
         if req.key is not None and self.met.get(req.key, -1) == self.build:
             wants_trial = True
-        if req.tries and self.on_trial(req.tries[-1].box.build):
+        if req.tries and self.on_trial(req.tries[-1].build):
             wants_trial = False
 
         def cost(box: Box) -> tuple[bool, bool, bool, float]:
@@ -484,7 +490,7 @@
         if outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.TIMEOUT):
             young = made.box.age(made.sent) < YOUNG
             time = -1.0 if young or outcome is Outcome.ERROR else latency
-            self.seen[made.box.build, req.route.name].append((now, time, outcome is Outcome.ERROR))
+            self.seen[made.build, req.route.name].append((now, time, outcome is Outcome.ERROR))
 
     def judge(self) -> None:
         """Compare both builds for each route over the same seconds and vote."""
