--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -41,6 +41,8 @@
 SLOW_RATIO = 1.5  # times the other build's median time that sends a build back
 SLOW_LEAST = 20  # outcomes that the median needs
 SLOW_Z = 3.5  # standard errors of the rank test: the median of few, looked at often, strays by half
+SHARED_SIGHT = 4.0  # s of times of all builds held against those from before the trial
+SHARED_FOR = 4.0  # s that all boxes must be slow before it counts against the build; passing jams are shorter
 CLEAN_LEAST = 5  # outcomes without a failure that allow a vote to move on
 SETTLE = 3.0  # s after the newest start before a vote to move on
 YOUNG = 5.0  # s after a start in which a box's times say nothing
@@ -216,6 +218,8 @@
         self.failing: set[str] = set()
         # The judge
         self.seen: dict[tuple[int, str], deque[tuple[float, float, bool]]] = defaultdict(deque)
+        self.calm: dict[str, list[float]] = {}
+        self.slowed_at: float | None = None
         self.verdict = Verdict.NONE
         self.voted_at = 0.0
         if grounds.may_subscribe:
@@ -254,6 +258,8 @@
         if build != self.build:
             self.share = 0.0
             self.failing = set()
+            self.calm = {route: self.times(route, 0.0) for route in self.grounds.routes}
+            self.slowed_at = None
         if phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
             self.met = {key: met for key, met in self.met.items() if met != build}
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
@@ -515,13 +521,20 @@
             failed = sum(failure for _, _, failure in cand)
             failures += failed
             clean += len(cand) - failed
+        if any(self.slower(self.times(route, now - SHARED_SIGHT), calm) for route, calm in self.calm.items()):
+            if self.slowed_at is None:
+                self.slowed_at = now
+        else:
+            self.slowed_at = None
+        if self.slowed_at is not None and now - self.slowed_at >= SHARED_FOR and self.phase is Phase.ON_TRIAL:
+            bad = True
         if bad:
             self.cast(Verdict.BACK, now)
         elif self.phase is Phase.ON_TRIAL and not self.release.timed:
             newest = [box.age(now) for box in self.boxes.values() if box.build == self.build and box.ready]
             settled = bool(newest) and min(newest) >= SETTLE
             enough = clean >= SLOW_LEAST or (clean >= CLEAN_LEAST and not failures)
-            if settled and enough:
+            if settled and enough and self.slowed_at is None:
                 self.cast(Verdict.ON, now)
 
     def is_worse(
@@ -535,9 +548,18 @@
             return True
         times = [time for _, time, _ in cand if time >= 0]
         base_times = [time for _, time, _ in base if time >= 0]
-        if len(times) < SLOW_LEAST or len(base_times) < SLOW_LEAST:
+        return self.slower(times, base_times)
+
+    def slower(self, times: Sequence[float], base: Sequence[float]) -> bool:
+        if len(times) < SLOW_LEAST or len(base) < SLOW_LEAST:
             return False
-        return median(times) > SLOW_RATIO * median(base_times) and rank_z(times, base_times) > SLOW_Z
+        return median(times) > SLOW_RATIO * median(base) and rank_z(times, base) > SLOW_Z
+
+    def times(self, route: str, since: float) -> list[float]:
+        return [
+            time for (_, name), outcomes in self.seen.items() if name == route
+            for at, time, _ in outcomes if at >= since and time >= 0
+        ]
 
     def cast(self, verdict: Verdict, now: float) -> None:
         renew = min(RENEW, RENEW_LIFE * self.release.vote_life)
