--- a/gullmount/benchlink/link.py
+++ b/gullmount/benchlink/link.py
@@ -145,6 +145,9 @@
     def subscribe(self) -> None:
         self.act("KeepInformed", On=True)
 
+    def log(self, text: str) -> None:
+        self.act("Debug", What=text)
+
     def on_new_request(self, event: dict[str, Any]) -> None:
         req = self.umpire.take(
             event["Id"], event["Grade"], seconds(event["NotAfterUs"]), event.get("Item")
--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -11,7 +11,7 @@
 import random
 from bisect import bisect_left, bisect_right
 from collections import defaultdict, deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from hashlib import blake2b
 from math import sqrt
 from statistics import median
@@ -46,7 +46,7 @@
 CLEAN_LEAST = 5  # outcomes without a failure that allow a vote to move on
 SETTLE = 3.0  # s after the newest start before a vote to move on
 YOUNG = 5.0  # s after a start in which a box's times say nothing
-SIGHT = 10.0  # s of outcomes compared; long enough for small umpires, short enough to see a late onset
+SIGHT = 20.0  # s of outcomes compared; long enough for small umpires, short enough to see a late onset
 JUDGE_EVERY = 0.25  # s between looks at the evidence
 RENEW = 5.0  # s between renewals of a vote, where it lives that long
 RENEW_LIFE = 0.5  # of a vote's life, so that one lost renewal does not let it lapse
@@ -71,18 +71,25 @@
 ASK_MOST = 4.0  # s
 RATE_OVER = 5.0  # s over which the rate of answers is taken; long enough for umpires with a few a second
 
+Seen = tuple[float, float, bool]  # when a try ended, its time (below 0: says nothing), whether it failed
+Times = Mapping[str, Sequence[float]]  # by route
+
 
 def place(key: str) -> float:
     """The key's stable number from 0 to 1, the same at every umpire and after every restart."""
     return int.from_bytes(blake2b(key.encode(), digest_size=8).digest()) / 2**64
 
 
-def rank_z(high: Sequence[float], low: Sequence[float]) -> float:
-    """How many standard errors the times in `high` rank above those in `low` (Mann-Whitney)."""
+def rank_surplus(high: Sequence[float], low: Sequence[float]) -> tuple[float, float]:
+    """By how many pairs `high` ranks above `low` beyond chance, and that count's variance (Mann-Whitney)."""
     ordered = sorted(low)
     wins = sum((bisect_left(ordered, time) + bisect_right(ordered, time)) / 2 for time in high)
-    n, m = len(high), len(low)
-    return (wins - n * m / 2) / sqrt(n * m * (n + m + 1) / 12)
+    pairs = len(high) * len(low)
+    return wins - pairs / 2, pairs * (len(high) + len(low) + 1) / 12
+
+
+def timed(outcomes: Iterable[Seen]) -> list[float]:
+    return [time for _, time, _ in outcomes if time >= 0]
 
 
 class Try:
@@ -217,7 +224,7 @@
         self.met: dict[str, int] = {}
         self.failing: set[str] = set()
         # The judge
-        self.seen: dict[tuple[int, str], deque[tuple[float, float, bool]]] = defaultdict(deque)
+        self.seen: dict[tuple[int, str], deque[Seen]] = defaultdict(deque)
         self.calm: dict[str, list[float]] = {}
         self.slowed_at: float | None = None
         self.verdict = Verdict.NONE
@@ -258,7 +265,7 @@
         if build != self.build:
             self.share = 0.0
             self.failing = set()
-            self.calm = {route: self.times(route, 0.0) for route in self.grounds.routes}
+            self.calm = {route: self.recent(route, 0.0) for route in self.grounds.routes}
             self.slowed_at = None
         if phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
             self.met = {key: met for key, met in self.met.items() if met != build}
@@ -507,63 +514,71 @@
                 outcomes.popleft()
         if self.phase not in (Phase.ON_TRIAL, Phase.RELEASED):
             return
-        bad, clean, failures = False, 0, 0
-        for route in self.grounds.routes:
-            cand = self.seen[self.build, route]
-            since = cand[0][0] if cand else now
-            base = [
-                seen for (build, name), outcomes in self.seen.items()
-                if build < self.build and name == route for seen in outcomes if seen[0] >= since
-            ]
-            if self.is_worse(cand, base):
-                self.failing.add(route)
-                bad = True
-            failed = sum(failure for _, _, failure in cand)
-            failures += failed
-            clean += len(cand) - failed
-        if any(self.slower(self.times(route, now - SHARED_SIGHT), calm) for route, calm in self.calm.items()):
-            if self.slowed_at is None:
-                self.slowed_at = now
-        else:
+        cands = {route: self.seen[self.build, route] for route in self.grounds.routes}
+        bases = {route: self.earlier(route, cand[0][0]) if cand else [] for route, cand in cands.items()}
+        worse = {route for route, cand in cands.items() if self.fails_more(cand, bases[route], FAIL_LEAST)}
+        self.failing |= worse
+        slower = self.slower(
+            {route: timed(cand) for route, cand in cands.items()},
+            {route: timed(base) for route, base in bases.items()},
+        )
+        recent = {route: self.recent(route, now - SHARED_SIGHT) for route in self.grounds.routes}
+        if not self.slower(recent, self.calm):
             self.slowed_at = None
-        if self.slowed_at is not None and now - self.slowed_at >= SHARED_FOR and self.phase is Phase.ON_TRIAL:
-            bad = True
-        if bad:
-            self.cast(Verdict.BACK, now)
+        elif self.slowed_at is None:
+            self.slowed_at = now
+        shared = self.slowed_at is not None and now - self.slowed_at >= SHARED_FOR
+        if worse or slower or (shared and self.phase is Phase.ON_TRIAL):
+            self.cast(Verdict.BACK, now, f"failing {sorted(worse)}, slower {slower}, all slow {shared}")
         elif self.phase is Phase.ON_TRIAL and not self.release.timed:
             newest = [box.age(now) for box in self.boxes.values() if box.build == self.build and box.ready]
             settled = bool(newest) and min(newest) >= SETTLE
+            failures = sum(failed for cand in cands.values() for _, _, failed in cand)
+            clean = sum(len(cand) for cand in cands.values()) - failures
             enough = clean >= SLOW_LEAST or (clean >= CLEAN_LEAST and not failures)
-            if settled and enough and self.slowed_at is None:
-                self.cast(Verdict.ON, now)
-
-    def is_worse(
-        self, cand: Sequence[tuple[float, float, bool]], base: Sequence[tuple[float, float, bool]]
-    ) -> bool:
-        if not cand:
-            return False
-        failed = sum(failure for _, _, failure in cand)
-        base_share = sum(failure for _, _, failure in base) / len(base) if base else 0.0
-        if failed >= FAIL_LEAST and failed / len(cand) > base_share + FAIL_MARGIN:
-            return True
-        times = [time for _, time, _ in cand if time >= 0]
-        base_times = [time for _, time, _ in base if time >= 0]
-        return self.slower(times, base_times)
+            doubt = any(self.fails_more(cand, bases[route], 1) for route, cand in cands.items())
+            if settled and enough and not doubt and self.slowed_at is None:
+                self.cast(Verdict.ON, now, f"clean {clean}, failed {failures}")
 
-    def slower(self, times: Sequence[float], base: Sequence[float]) -> bool:
-        if len(times) < SLOW_LEAST or len(base) < SLOW_LEAST:
-            return False
-        return median(times) > SLOW_RATIO * median(base) and rank_z(times, base) > SLOW_Z
+    def earlier(self, route: str, since: float) -> list[Seen]:
+        """Outcomes of the earlier builds on the route since then: the same seconds as the newest's."""
+        return [
+            seen for (build, name), outcomes in self.seen.items() if build < self.build and name == route
+            for seen in outcomes if seen[0] >= since
+        ]
 
-    def times(self, route: str, since: float) -> list[float]:
+    def recent(self, route: str, since: float) -> list[float]:
+        """Times on the route since then, whatever the build."""
         return [
             time for (_, name), outcomes in self.seen.items() if name == route
-            for at, time, _ in outcomes if at >= since and time >= 0
+            for time in timed([seen for seen in outcomes if seen[0] >= since])
         ]
 
-    def cast(self, verdict: Verdict, now: float) -> None:
+    def fails_more(self, cand: Sequence[Seen], base: Sequence[Seen], least: int) -> bool:
+        failed = sum(failure for _, _, failure in cand)
+        base_share = sum(failure for _, _, failure in base) / len(base) if base else 0.0
+        return failed >= least and failed / len(cand) > base_share + FAIL_MARGIN
+
+    def slower(self, times: Times, base: Times) -> bool:
+        """Whether `times` are beyond doubt slower than `base`, all routes weighed together.
+
+        One umpire sees few of each route early in a trial; relative to the route's own median they add up.
+        """
+        ratios: list[float] = []
+        surplus = variance = 0.0
+        for route, cand in times.items():
+            if cand and len(base.get(route, ())) >= SLOW_LEAST:
+                usual = median(base[route])
+                ratios += [time / usual for time in cand]
+                wins, spread = rank_surplus(cand, base[route])
+                surplus += wins
+                variance += spread
+        return len(ratios) >= SLOW_LEAST and median(ratios) > SLOW_RATIO and surplus > SLOW_Z * sqrt(variance)
+
+    def cast(self, verdict: Verdict, now: float, why: str) -> None:
         renew = min(RENEW, RENEW_LIFE * self.release.vote_life)
         if verdict is not self.verdict or now - self.voted_at >= renew:
+            self.host.log(f"build {self.build} stage {self.stage}: votes {verdict.value}: {why}")
             self.verdict = verdict
             self.voted_at = now
             self.host.vote(self.build, self.stage, verdict)
