--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -33,7 +33,7 @@
 # The split (design page)
 CAP_USE = 0.8  # of the cap; the rest is room for chance and further tries
 RAMP = 3.0  # s from the old share to the new one after the stage's boxes are listed
-CROWD = 1.25  # times a usual box's load that a build's warm boxes may be given by the split
+CROWD = 1.1  # times the earlier boxes' load that the split may give a trial's warm boxes: more reads as slow
 
 # The judge (design page)
 FAIL_MARGIN = 0.02  # failures more, as a share, that send a build back
@@ -447,15 +447,13 @@
     def update_share(self, now: float) -> None:
         """The share moves toward 0.8 of the cap, over the ramp, as far as the listed boxes can carry it."""
         trial = [box for box in self.boxes.values() if box.ready and self.on_trial(box.build)]
-        places = self.places()
         announced = [box for box in trial if box.build == self.build]
         cap = self.cap if announced else self.release.caps[0]
         aim = CAP_USE * cap
         carry = sum(self.warmth(box, now) for box in trial if box.out_until <= now)
-        aim = min(aim, CROWD * carry / max(1, places))
-        earlier = places if self.release.beside else places - len(trial)
-        if trial and cap >= 1:
-            aim = max(aim, carry / max(1, carry + earlier))
+        earlier = sum(box.ready and not self.on_trial(box.build) for box in self.boxes.values())
+        even = carry / max(1, carry + earlier)
+        aim = max(even, aim) if cap >= 1 else min(aim, CROWD * even)
         step = (now - self.share_at) / RAMP * CAP_USE * cap
         self.share = aim if aim <= self.share else min(aim, self.share + step)
         self.share_at = now
