--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -43,6 +43,8 @@
 SLOW_Z = 3.5  # standard errors of the rank test: the median of few, looked at often, strays by half
 SHARED_SIGHT = 4.0  # s of times of all builds held against those from before the trial
 SHARED_FOR = 4.0  # s that all boxes must be slow before it counts against the build; passing jams are shorter
+SLICE = 2.0  # s whose times are compared: shorter than jams, long enough for some of each build
+BASE_LEAST = 3  # times of the earlier build that make a slice count
 CLEAN_LEAST = 5  # outcomes without a failure that allow a vote to move on
 SETTLE = 3.0  # s after the newest start before a vote to move on
 YOUNG = 5.0  # s after a start in which a box's times say nothing
@@ -72,7 +74,7 @@
 RATE_OVER = 5.0  # s over which the rate of answers is taken; long enough for umpires with a few a second
 
 Seen = tuple[float, float, bool]  # when a try ended, its time (below 0: says nothing), whether it failed
-Times = Mapping[str, Sequence[float]]  # by route
+Times = dict[tuple[str, int], list[float]]  # by route and slice
 
 
 def place(key: str) -> float:
@@ -88,8 +90,32 @@
     return wins - pairs / 2, pairs * (len(high) + len(low) + 1) / 12
 
 
-def timed(outcomes: Iterable[Seen]) -> list[float]:
-    return [time for _, time, _ in outcomes if time >= 0]
+def sliced(outcomes: Mapping[str, Iterable[Seen]]) -> Times:
+    """Times by route and slice of time, so that only the same seconds are compared."""
+    times: Times = defaultdict(list)
+    for route, seen in outcomes.items():
+        for at, time, _ in seen:
+            if time >= 0:
+                times[route, int(at / SLICE)].append(time)
+    return times
+
+
+def slower(cands: Times, bases: Times) -> bool:
+    """Whether `cands` are beyond doubt slower than `bases`, all routes and slices weighed together.
+
+    One umpire sees few of each route early in a trial; relative to the base's median they add up.
+    """
+    ratios: list[float] = []
+    surplus = variance = 0.0
+    for part, cand in cands.items():
+        base = bases.get(part, ())
+        if len(base) >= BASE_LEAST:
+            usual = median(base)
+            ratios += [time / usual for time in cand]
+            wins, spread = rank_surplus(cand, base)
+            surplus += wins
+            variance += spread
+    return len(ratios) >= SLOW_LEAST and median(ratios) > SLOW_RATIO and surplus > SLOW_Z * sqrt(variance)
 
 
 class Try:
@@ -225,7 +251,7 @@
         self.failing: set[str] = set()
         # The judge
         self.seen: dict[tuple[int, str], deque[Seen]] = defaultdict(deque)
-        self.calm: dict[str, list[float]] = {}
+        self.calm: Times = {}
         self.slowed_at: float | None = None
         self.verdict = Verdict.NONE
         self.voted_at = 0.0
@@ -265,7 +291,7 @@
         if build != self.build:
             self.share = 0.0
             self.failing = set()
-            self.calm = {route: self.recent(route, 0.0) for route in self.grounds.routes}
+            self.calm = self.recent(0.0)
             self.slowed_at = None
         if phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
             self.met = {key: met for key, met in self.met.items() if met != build}
@@ -516,18 +542,14 @@
         bases = {route: self.earlier(route, cand[0][0]) if cand else [] for route, cand in cands.items()}
         worse = {route for route, cand in cands.items() if self.fails_more(cand, bases[route], FAIL_LEAST)}
         self.failing |= worse
-        slower = self.slower(
-            {route: timed(cand) for route, cand in cands.items()},
-            {route: timed(base) for route, base in bases.items()},
-        )
-        recent = {route: self.recent(route, now - SHARED_SIGHT) for route in self.grounds.routes}
-        if not self.slower(recent, self.calm):
+        if not slower(self.recent(now - SHARED_SIGHT), self.calm):
             self.slowed_at = None
         elif self.slowed_at is None:
             self.slowed_at = now
         shared = self.slowed_at is not None and now - self.slowed_at >= SHARED_FOR
-        if worse or slower or (shared and self.phase is Phase.ON_TRIAL):
-            self.cast(Verdict.BACK, now, f"failing {sorted(worse)}, slower {slower}, all slow {shared}")
+        slow = slower(sliced(cands), sliced(bases))
+        if worse or slow or (shared and self.phase is Phase.ON_TRIAL):
+            self.cast(Verdict.BACK, now, f"failing {sorted(worse)}, slow {slow}, all slow {shared}")
         elif self.phase is Phase.ON_TRIAL and not self.release.timed:
             newest = [box.age(now) for box in self.boxes.values() if box.build == self.build and box.ready]
             settled = bool(newest) and min(newest) >= SETTLE
@@ -545,34 +567,18 @@
             for seen in outcomes if seen[0] >= since
         ]
 
-    def recent(self, route: str, since: float) -> list[float]:
-        """Times on the route since then, whatever the build."""
-        return [
-            time for (_, name), outcomes in self.seen.items() if name == route
-            for time in timed([seen for seen in outcomes if seen[0] >= since])
-        ]
+    def recent(self, since: float) -> Times:
+        """Times on each route since then, whatever the build."""
+        times: Times = defaultdict(list)
+        for (_, route), outcomes in self.seen.items():
+            times[route, 0] += [time for at, time, _ in outcomes if at >= since and time >= 0]
+        return times
 
     def fails_more(self, cand: Sequence[Seen], base: Sequence[Seen], least: int) -> bool:
         failed = sum(failure for _, _, failure in cand)
         base_share = sum(failure for _, _, failure in base) / len(base) if base else 0.0
         return failed >= least and failed / len(cand) > base_share + FAIL_MARGIN
 
-    def slower(self, times: Times, base: Times) -> bool:
-        """Whether `times` are beyond doubt slower than `base`, all routes weighed together.
-
-        One umpire sees few of each route early in a trial; relative to the route's own median they add up.
-        """
-        ratios: list[float] = []
-        surplus = variance = 0.0
-        for route, cand in times.items():
-            if cand and len(base.get(route, ())) >= SLOW_LEAST:
-                usual = median(base[route])
-                ratios += [time / usual for time in cand]
-                wins, spread = rank_surplus(cand, base[route])
-                surplus += wins
-                variance += spread
-        return len(ratios) >= SLOW_LEAST and median(ratios) > SLOW_RATIO and surplus > SLOW_Z * sqrt(variance)
-
     def cast(self, verdict: Verdict, now: float, why: str) -> None:
         renew = min(RENEW, RENEW_LIFE * self.release.vote_life)
         if verdict is not self.verdict or now - self.voted_at >= renew:
