--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -460,8 +460,12 @@
         return sum(box.ready and box.build == build and box.out_until <= now for box in self.boxes.values())
 
     def has_room(self, build: int, now: float) -> bool:
+        """A build on trial has no more room a box than the others: what is loaded alike can be compared."""
         width = self.widths[build]
-        return width.open < max(1.0, width.width * self.in_service(build, now))
+        most = width.width
+        if self.on_trial(build):
+            most = min([most] + [other.width for rev, other in self.widths.items() if not self.on_trial(rev)])
+        return width.open < max(1.0, most * self.in_service(build, now))
 
     def places(self) -> int:
         ready = [box for box in self.boxes.values() if box.ready]
@@ -489,15 +493,17 @@
         self.update_share(now)
         roomy = {build: self.has_room(build, now) for build in {box.build for box in self.boxes.values()}}
         allowed = [box for box in self.boxes.values() if roomy[box.build] and self.allowed(req, box, now)]
-        if not allowed:
-            return None
-        tried = {made.box.id for made in req.tries}
         wants_trial = req.hash < self.share and req.route.name not in self.failing
         if req.key is not None and self.met.get(req.key, -1) == self.build:
             wants_trial = True
         if req.tries and self.on_trial(req.tries[-1].build):
             wants_trial = False
-
+        earlier = any(box.out_until <= now and not self.on_trial(box.build) for box in self.boxes.values())
+        if earlier and not wants_trial:
+            allowed = [box for box in allowed if not self.on_trial(box.build)]
+        if not allowed:
+            return None
+        tried = {made.box.id for made in req.tries}
         def cost(box: Box) -> tuple[bool, bool, bool, float]:
             return (
                 box.id in tried,
