--- a/gullmount/benchlink/link.py
+++ b/gullmount/benchlink/link.py
@@ -50,12 +50,51 @@
     "deduplicated": Repeats.DEDUPED,
     "at_most_once": Repeats.NON_RETRIABLE,
 }
+NUMBER = (int, float)
+MAYBE_TEXT = (str, type(None))
+MAYBE_INT = (int, type(None))
+FIELDS: dict[str, dict[str, type | tuple[type, ...]]] = {
+    "Sync": {"TsUs": int},
+    "Go": {},
+    "Page": {"Buffer": int, "Lines": list},
+    "Spawn": {"Who": int, "RngSeed": int, "ProfileData": dict},
+    "Exit": {"Who": int},
+    "Fleet": {"Who": int, "Kind": str, "Buffer": MAYBE_INT},
+    "NewRequest": {"Who": int, "Id": str, "Grade": str, "NotAfterUs": int, "Item": MAYBE_TEXT},
+    "Result": {"Who": int, "Id": str, "Hop": int, "Disposition": int, "CostTimeUs": int, "Final": bool},
+    "Begun": {"Who": int, "Id": str, "Hop": int},
+    "Left": {"Who": int, "Id": str},
+    "Due": {"Who": int, "Name": int},
+    "RolloutState": {"Who": int, "Disposition": int},
+    "Tally": {"Who": int},
+    "NoteFrom": {"Who": int},
+    "ProbeResult": {"Who": int},
+    "ReportedWrong": {"Who": int},
+}
+STATE_FIELDS = {"Ver": int, "Step": int, "WhereAt": int, "Allowed": NUMBER}  # valid only in an ok state
+ENTRY_FIELDS = {
+    "Box": str, "Zone": str, "Bay": int, "Build": int, "Availability": str, "PowerHint": NUMBER,
+    "LastStartUs": MAYBE_INT,
+}
 
 
 class Malformed(Exception):
     """A line that does not follow the wire; the text names its verb and field."""
 
 
+def check(verb: str, event: dict[str, Any], fields: dict[str, type | tuple[type, ...]]) -> None:
+    for field, kind in fields.items():
+        if not isinstance(event.get(field), kind):
+            raise Malformed(f"{verb}: field {field} is missing or wrong: {event.get(field)!r}")
+
+
+def look_up(table: dict[Any, Any], verb: str, event: dict[str, Any], field: str) -> Any:
+    value = event[field]
+    if value not in table:
+        raise Malformed(f"{verb}: field {field} has no such value: {value!r}")
+    return table[value]
+
+
 def seconds(micros: int | None) -> float:
     return (micros or 0) / MICRO
 
@@ -114,7 +153,12 @@
         self.callbacks: dict[int, Callable[[], None]] = {}
         self.timers = 0
         self.reqs: dict[str, Req] = {}
-        self.umpire = Umpire(self, decode_grounds(event["RngSeed"], event["ProfileData"]))
+        try:
+            grounds = decode_grounds(event["RngSeed"], event["ProfileData"])
+        except (KeyError, TypeError, ValueError, AttributeError) as fault:
+            raise Malformed(f"Spawn: field ProfileData does not hold what it must: {fault}") from None
+        self.routes = grounds.routes
+        self.umpire = Umpire(self, grounds)
 
     def act(self, verb: str, **fields: Any) -> None:
         self.link.reply.append({"verb": verb, "Who": self.who, **fields})
@@ -149,19 +193,17 @@
         self.act("Debug", What=text)
 
     def on_new_request(self, event: dict[str, Any]) -> None:
-        req = self.umpire.take(
-            event["Id"], event["Grade"], seconds(event["NotAfterUs"]), event.get("Item")
-        )
+        look_up(self.routes, "NewRequest", event, "Grade")
+        req = self.umpire.take(event["Id"], event["Grade"], seconds(event["NotAfterUs"]), event.get("Item"))
         if not req.settled:
             self.reqs[event["Id"]] = req
 
     def on_result(self, event: dict[str, Any]) -> None:
         req = self.reqs.get(event["Id"])
-        if req is None:
-            return
-        req.ended(
-            event["Hop"], OUTCOMES[event["Disposition"]], seconds(event["CostTimeUs"]), event["Final"]
-        )
+        if req is None or event["Hop"] not in req.open_tries:
+            raise Malformed(f"Result: fields Id and Hop name no open try: {event['Id']} {event['Hop']}")
+        outcome = look_up(OUTCOMES, "Result", event, "Disposition")
+        req.ended(event["Hop"], outcome, seconds(event["CostTimeUs"]), event["Final"])
         self.drop(event["Id"], req)
 
     def on_begun(self, event: dict[str, Any]) -> None:
@@ -180,31 +222,22 @@
             del self.reqs[req_id]
 
     def on_due(self, event: dict[str, Any]) -> None:
+        if event["Name"] not in self.callbacks:
+            raise Malformed(f"Due: field Name is no timer that was set: {event['Name']}")
         self.callbacks.pop(event["Name"])()
 
     def on_fleet(self, event: dict[str, Any]) -> None:
-        kind = KINDS[event["Kind"]]
-        lines = [] if kind is ListKind.REFUSED else self.link.pages[event["Buffer"]]
-        self.umpire.listed(kind, lines)
+        kind = look_up(KINDS, "Fleet", event, "Kind")
+        refused = kind is ListKind.REFUSED
+        self.umpire.listed(kind, [] if refused else look_up(self.link.pages, "Fleet", event, "Buffer"))
 
     def on_rollout_state(self, event: dict[str, Any]) -> None:
-        if event["Disposition"] != 100:  # noqa: PLR2004 - the wire's code for ok
-            self.umpire.vote_failed(unanswered=event["Disposition"] == 303)  # noqa: PLR2004
+        if look_up(OUTCOMES, "RolloutState", event, "Disposition") is not Outcome.COMPLETED:
+            self.umpire.vote_failed()
             return
-        self.umpire.news(
-            event["Ver"],
-            event["Step"],
-            PHASES[event["WhereAt"]],
-            event["Allowed"],
-            seconds(event["AgeUs"]),
-            answers_vote=event["Sense"] == 1,
-        )
-
-    def on_tally(self, event: dict[str, Any]) -> None:
-        self.umpire.tallied(
-            event["Ver"], event["Grade"], event["N"], event["Lost"], seconds(event["CostTimeUs"]),
-            seconds(event["AgeUs"]),
-        )
+        check("RolloutState", event, STATE_FIELDS)
+        phase = look_up(PHASES, "RolloutState", event, "WhereAt")
+        self.umpire.news(event["Ver"], event["Step"], phase, event["Allowed"])
 
     def on_ignored(self, event: dict[str, Any]) -> None:
         """Events that no decision uses yet."""
@@ -215,7 +248,7 @@
         "Due": on_due,
         "Fleet": on_fleet,
         "RolloutState": on_rollout_state,
-        "Tally": on_tally,
+        "Tally": on_ignored,
         "Left": on_left,
         "Begun": on_begun,
         "NoteFrom": on_ignored,
@@ -225,12 +258,13 @@
 
 
 def decode_line(entry: dict[str, Any]) -> Listed:
+    check("Page", entry, ENTRY_FIELDS)
     return Listed(
         box=entry["Box"],
         zone=entry["Zone"],
         cell=entry["Bay"],
         build=entry["Build"],
-        state=STATES[entry["Availability"]],
+        state=look_up(STATES, "Page", entry, "Availability"),
         power=entry["PowerHint"],
         started=seconds(entry.get("LastStartUs")),
     )
@@ -247,6 +281,9 @@
 
     def handle(self, event: dict[str, Any]) -> None:
         verb = event["verb"]
+        if verb not in FIELDS:
+            raise Malformed(f"{verb}: unknown verb")
+        check(verb, event, FIELDS[verb])
         if verb == "Sync":
             self.clock = seconds(event["TsUs"])
         elif verb == "Page":
@@ -256,13 +293,8 @@
         elif verb == "Exit":
             self.instances.pop(event["Who"], None)
         else:
-            handler = Instance.HANDLERS.get(verb)
-            if handler is None:
-                raise Malformed(f"{verb}: unknown verb")
-            instance = self.instances.get(event["Who"])
-            if instance is None:
-                raise Malformed(f"{verb}: field Who names no running instance: {event['Who']}")
-            handler(instance, event)
+            instance = look_up(self.instances, verb, event, "Who")
+            Instance.HANDLERS[verb](instance, event)
 
     def take_reply(self) -> bytes:
         lines = [json.dumps(action, separators=(",", ":")) for action in self.reply]
--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -2,8 +2,8 @@
 
 How to call it: make one `Umpire(host, grounds)` for each instance; the types and what is asked of the host
 are in gullmount/interface.py. `umpire.take(...)` returns a `Req`; all that later happens to the req is a
-call on it (`ended`, `begun`, `left`). News about boxes, builds and counts goes to `listed`, `news`,
-`vote_failed` and `tallied`. Answers leave through the host at once, in the same call.
+call on it (`ended`, `begun`, `left`). News about boxes, builds and counts goes to `listed`, `news` and
+`vote_failed`. Answers leave through the host at once, in the same call.
 """
 
 from __future__ import annotations
@@ -280,9 +280,7 @@
             else:
                 self.boxes[line.box] = Box(line, self.random())
 
-    def news(
-        self, build: int, stage: int, phase: Phase, cap: float, age: float, *, answers_vote: bool
-    ) -> None:
+    def news(self, build: int, stage: int, phase: Phase, cap: float) -> None:
         """The state of the newest build. A state that is older than the one held changes nothing."""
         if build < self.build:
             return
@@ -297,13 +295,10 @@
             self.met = {key: met for key, met in self.met.items() if met != build}
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
 
-    def vote_failed(self, *, unanswered: bool) -> None:
+    def vote_failed(self) -> None:
         """The last vote got no good answer: the next look at the evidence casts it again."""
         self.verdict = Verdict.NONE
 
-    def tallied(self, build: int, route: str, count: int, failed: int, mean: float, age: float) -> None:
-        """What the platform counted in a sample of all upstream tries."""
-
     # Reqs
 
     def take(self, req_id: str, route: str, give_up: float, key: str | None) -> Req:
