--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -59,6 +59,8 @@
 EJECT_FOR = 1.0  # s out at first; doubles
 EJECT_MOST = 8.0  # s; a box that is back is found within this time
 FIRST_TIME = 0.1  # s taken for a box's time before any outcome
+SPREAD = 0.1  # of a box's cost by chance, so that umpires alike in all do not choose alike
+FORGET = 3.0  # s in which half of what a box's old times say is forgotten, so that it is tried again
 TRY_OBJECTIVE = 1.0  # latency objectives that a try may take while another could follow
 LATE = 0.7  # of the latency objective: slower answers say that too much is out
 WIDTH = 4.0  # tries out a box at first, by one umpire; above need, so that a calm start is not held back
@@ -143,6 +145,7 @@
             self.failing = 0
             self.out_until = 0.0
             self.out_for = EJECT_FOR
+            self.told = now
             self.credit = self.order
             self.credited = now
         self.zone = line.zone
@@ -152,6 +155,14 @@
         self.power = line.power or 1.0
         self.started = line.started
 
+    def expected(self, now: float) -> float:
+        """Its running time, drawn back to the first guess while nothing is heard of it.
+
+        Guards against shunning for ever a box that was slow or silent once. Harm: a box that stays slow
+        gets a try now and then.
+        """
+        return FIRST_TIME + (self.time - FIRST_TIME) * 0.5 ** ((now - self.told) / FORGET)
+
     def age(self, now: float) -> float:
         return now - self.started if self.started > 0 else now
 
@@ -504,11 +515,14 @@
                 box.id in tried,
                 box.out_until > now or (box.failing >= EJECT_AFTER and box.open > 0),
                 self.on_trial(box.build) is not wants_trial,
-                (box.open + 1) * box.time / (box.power * self.warmth(box, now)) * (1 + 0.1 * self.random()),
+                (box.open + 1) * box.expected(now) / (box.power * self.warmth(box, now)) * self.spread(),
             )
 
         return min(allowed, key=cost)
 
+    def spread(self) -> float:
+        return 1 + SPREAD * self.random()
+
     def note_health(self, box: Box, outcome: Outcome, latency: float, now: float) -> None:
         if outcome in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT, Outcome.RESET):
             box.failing += 1
@@ -520,7 +534,9 @@
             box.out_until = 0.0
             box.out_for = EJECT_FOR
         if outcome in (Outcome.COMPLETED, Outcome.TIMEOUT):
+            box.time = box.expected(now)
             box.time += SMOOTH * (latency - box.time)
+            box.told = now
 
     # The judge
 
--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,68 @@
+"""The wire: round trips and malformed lines."""
+
+import io
+import json
+
+import pytest
+
+from gullmount.benchlink.link import Malformed, serve
+
+PROFILE = {
+    "Azs": ["a"], "Zone": "a", "Discovery": "subscribe", "NewKey": 1,
+    "Ceilings": {"MaxAttempts": 4, "ParallelTries": True, "RetryAfter": False, "MaxRetryAfterUs": 0},
+    "Rules": {"StopSendingWithinUs": 500000, "ColdFrom": 0.3, "WarmAfterUs": 5000000, "TipMultiple": 2.0,
+              "OverloadForUs": 1000000},
+    "Grades": [{"Name": "g", "ObjectiveUs": 1000000, "Semantics": "idempotent", "Group": "all"}],
+    "Specifics": {"ExposureCaps": [0.1, 1.0], "Shares": [0.1, 1.0], "Swap": "beside", "CountedBy": "all",
+                  "ClosedStages": 0, "OneWay": False, "SpanUs": 3000000, "SpareTries": 2.0,
+                  "GateMode": "any", "VoteLifeUs": 4000000},
+}
+SYNC = {"verb": "Sync", "TsUs": 5000000}
+SPAWN = {"verb": "Spawn", "Who": 3, "RngSeed": 9, "ProfileData": PROFILE}
+PAGE = {"verb": "Page", "Buffer": 0, "Lines": [
+    {"Build": 41, "Box": "10.0.0.1:9000", "Zone": "a", "FamilyType": "k", "Bay": 0, "Availability": "Ready",
+     "PowerHint": 1, "LastStartUs": None}]}
+FLEET = {"verb": "Fleet", "Who": 3, "Kind": "remembered", "Index": 1, "Buffer": 0}
+TAKE = {"verb": "NewRequest", "Who": 3, "Id": "ab", "Grade": "g", "NotAfterUs": 8000000, "WorkHintUs": None,
+        "Item": None, "Bitmap": 0, "Team": None}
+RESULT = {"verb": "Result", "Who": 3, "Id": "ab", "Hop": 0, "Box": "10.0.0.1:9000", "Disposition": 100,
+          "CostTimeUs": 1000, "Final": True, "HealthInfo": {"unknown": 1}}
+GO = {"verb": "Go"}
+
+
+def run(*events: dict) -> list[dict]:
+    sink = io.BytesIO()
+    serve(io.BytesIO("".join(json.dumps(event) + "\n" for event in events).encode()), sink)
+    return [json.loads(line) for line in sink.getvalue().splitlines()]
+
+
+def test_round_trip() -> None:
+    reply = run(SYNC, SPAWN, PAGE, FLEET, TAKE, GO, SYNC, RESULT, GO, SYNC, {"verb": "Exit", "Who": 3}, GO)
+    assert [action["verb"] for action in reply] == [
+        "KeepInformed", "SetTimer", "Relay", "Yield", "Yield", "Yield"
+    ]
+    assert reply[2] == {
+        "verb": "Relay", "Who": 3, "Id": "ab", "Box": "10.0.0.1:9000", "PatienceUs": reply[2]["PatienceUs"]
+    }
+    assert 0 < reply[2]["PatienceUs"] <= 3000000
+
+
+def test_killed_and_started_in_one_batch() -> None:
+    reply = run(SYNC, SPAWN, PAGE, FLEET, TAKE, GO, SYNC, {"verb": "Exit", "Who": 3}, SPAWN, FLEET, GO)
+    assert sum(action["verb"] == "KeepInformed" for action in reply) == 2
+
+
+@pytest.mark.parametrize(("events", "words"), [
+    ([{"verb": "Nonsense"}], ["Nonsense"]),
+    ([{"verb": "Sync"}], ["Sync", "TsUs"]),
+    ([SYNC, {**SPAWN, "ProfileData": {}}], ["Spawn", "ProfileData"]),
+    ([SYNC, SPAWN, {**TAKE, "Grade": "no"}], ["NewRequest", "Grade"]),
+    ([SYNC, SPAWN, PAGE, FLEET, TAKE, {**RESULT, "Disposition": 999}], ["Result", "Disposition"]),
+    ([SYNC, SPAWN, {**FLEET, "Buffer": 5}], ["Fleet", "Buffer"]),
+    ([SYNC, TAKE], ["NewRequest", "Who"]),
+    ([[1]], ["verb"]),
+])
+def test_malformed_line_names_verb_and_field(events: list, words: list[str]) -> None:
+    with pytest.raises(Malformed) as caught:
+        run(*events, GO)
+    assert all(word in str(caught.value) for word in words)
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,173 @@
+"""One small test for each failure found, on the module alone."""
+
+from __future__ import annotations
+
+import random
+
+from gullmount.interface import BoxState, ListKind, Outcome, Phase, Verdict
+from tests.helpers import Bench
+
+EARLIER = {f"a{n}": 1 for n in range(8)}
+TRIAL = {"b0": 2, "b1": 2}
+
+
+def on_trial(**changes: object) -> Bench:
+    bench = Bench(**changes)
+    bench.list_boxes(EARLIER | TRIAL)
+    bench.trial(stage=1, cap=0.5)
+    bench.pass_time(10.0)
+    return bench
+
+
+def see(bench: Bench, build: int, slowness: float, count: int, span: float = 8.0, start: float = 0.0) -> None:
+    """Outcomes as the judge keeps them, spread evenly over the span, times from one skewed law."""
+    draw = random.Random(build).lognormvariate
+    times = sorted((bench.clock + start + span * n / count, slowness * draw(-2.0, 0.8)) for n in range(count))
+    bench.umpire.seen[build, "look"].extend((at, time, False) for at, time in times)
+
+
+def verdicts(bench: Bench) -> set[Verdict]:
+    return {verdict for _, _, verdict in bench.votes}
+
+
+def test_slow_build_goes_back_and_an_even_one_on() -> None:
+    for slowness, verdict in ((3.0, Verdict.BACK), (1.1, Verdict.ON)):
+        bench = on_trial()
+        see(bench, 1, 1.0, 200)
+        see(bench, 2, slowness, 40)
+        bench.pass_time(8.5)
+        assert verdict in verdicts(bench)
+        assert (Verdict.BACK in verdicts(bench)) is (verdict is Verdict.BACK)
+
+
+def test_trend_in_load_is_not_read_as_a_slow_build() -> None:
+    """The trial's samples gather late, when all boxes have become slow."""
+    bench = on_trial()
+    see(bench, 2, 1.0, 4)
+    see(bench, 1, 1.0, 160)
+    see(bench, 2, 3.0, 40, start=8.0)
+    see(bench, 1, 3.0, 60, start=8.0)
+    bench.pass_time(16.5)
+    assert Verdict.BACK not in verdicts(bench)
+
+
+def test_build_that_slows_old_and_new_alike_goes_back() -> None:
+    bench = Bench()
+    bench.list_boxes(EARLIER | TRIAL)
+    bench.trial(build=1, phase=Phase.RELEASED)
+    see(bench, 1, 1.0, 100)
+    bench.pass_time(8.0)
+    bench.trial()
+    see(bench, 1, 2.5, 100)
+    see(bench, 2, 2.5, 20)
+    bench.pass_time(8.5)
+    assert Verdict.BACK in verdicts(bench)
+
+
+def test_failing_route_goes_back_and_stays_back() -> None:
+    bench = on_trial()
+    bench.umpire.seen[2, "pay"].extend((bench.clock, -1.0, True) for _ in range(3))
+    bench.pass_time(0.5)
+    assert Verdict.BACK in verdicts(bench)
+    for number in range(40):
+        bench.take("pay", f"k{number}")
+    assert all(box.startswith("a") for _, box, _ in bench.sends)
+
+
+def test_no_evidence_no_vote() -> None:
+    bench = on_trial()
+    bench.pass_time(20.0)
+    assert not bench.votes
+
+
+def test_vote_is_renewed_within_its_life() -> None:
+    bench = on_trial(vote_life=4.0)
+    see(bench, 2, 1.0, 30, span=0.1)
+    bench.pass_time(8.0)
+    assert len(bench.votes) >= 3
+
+
+def test_unanswered_vote_is_cast_again() -> None:
+    bench = on_trial()
+    see(bench, 2, 1.0, 30, span=0.1)
+    bench.pass_time(0.5)
+    cast = len(bench.votes)
+    bench.umpire.vote_failed()
+    bench.pass_time(0.5)
+    assert len(bench.votes) == cast + 1
+
+
+def test_cold_box_is_not_filled_in_a_jam_without_answers() -> None:
+    bench = Bench(max_tries=1)
+    bench.list_boxes(EARLIER)
+    bench.pass_time(10.0)
+    bench.list_boxes({"a9": 1}, ListKind.CHANGES, started=bench.clock)
+    for _ in range(100):
+        bench.finish(bench.take(), Outcome.TIMEOUT, 1.0)
+        bench.pass_time(0.01)
+    assert sum(box == "a9" for _, box, _ in bench.sends) == 0
+
+
+def test_late_answers_narrow_the_bound_and_good_ones_widen_it() -> None:
+    bench = Bench(max_tries=1)
+    bench.list_boxes(EARLIER)
+    bench.trial(build=1, phase=Phase.RELEASED)
+    reqs = [bench.take("pay") for _ in range(20)]
+    for req in reqs:
+        bench.pass_time(0.3)
+        bench.finish(req, Outcome.TIMEOUT, 1.0)
+    narrow = bench.umpire.widths[1].width
+    assert narrow < 0.5
+    tries = [bench.take("pay") for _ in range(40)]
+    assert any(not req.tries for req in tries), "a full bound sheds"
+    for _ in range(30):
+        for req in tries:
+            bench.finish(req)
+        tries = [bench.take("pay") for _ in range(20)]
+    assert bench.umpire.widths[1].width > narrow
+
+
+def test_full_earlier_pool_does_not_spill_to_the_trial() -> None:
+    bench = on_trial()
+    for number in range(300):
+        bench.take("look", f"k{number}")
+    spilled = [box for req, box, _ in bench.sends if box in TRIAL]
+    assert len(spilled) <= 0.5 * len(bench.sends)
+    bench.umpire.widths[1].width = 0.0
+    bench.umpire.widths[1].open = 1
+    bench.umpire.share = 0.0
+    bench.sends.clear()
+    bench.take("look", "other")
+    assert not bench.sends
+
+
+def test_silent_box_stops_taking_keys_and_is_tried_again() -> None:
+    bench = Bench()
+    bench.list_boxes({"a0": 1, "a1": 1})
+    bench.trial(build=1, phase=Phase.RELEASED)
+    for _ in range(60):
+        req = bench.take("pay")
+        silent = req.tries[-1].box.id == "a0"
+        bench.finish(req, Outcome.TIMEOUT if silent else Outcome.COMPLETED, 1.0 if silent else 0.1)
+        bench.pass_time(0.01)
+    assert sum(box == "a0" for _, box, _ in bench.sends) <= 4
+    bench.pass_time(10.0)
+    bench.sends.clear()
+    for _ in range(4):
+        bench.take("pay")
+    assert any(box == "a0" for _, box, _ in bench.sends)
+
+
+def test_refused_list_is_asked_again() -> None:
+    bench = Bench(may_subscribe=True)
+    bench.umpire.listed(ListKind.REFUSED, [])
+    bench.pass_time(3.0)
+    assert bench.asked == 2
+
+
+def test_nothing_to_send_to_answers_at_once() -> None:
+    bench = Bench()
+    bench.take("pay")
+    bench.list_boxes({"a0": 1}, state=BoxState.DRAINING)
+    bench.take("pay")
+    assert bench.answers == {"r1": ["shed"], "r2": ["shed"]}
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,181 @@
+"""A slow, plain model of the rules runs beside the module on generated inputs; both must agree."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gullmount.interface import BoxState, Group, ListKind, Outcome, Phase, Repeats
+from gullmount.policy import Box, Req
+from tests.helpers import ROUTES, Bench
+
+PROVES_UNRUN = {Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT}
+NAMES = ["a1", "a2", "b1", "b2"]
+
+steps = st.one_of(
+    st.tuples(st.just("take"), st.sampled_from(sorted(ROUTES)), st.sampled_from([None, "k1", "k2", "k3"])),
+    st.tuples(st.just("end"), st.integers(0, 9), st.sampled_from(list(Outcome))),
+    st.tuples(st.just("leave"), st.integers(0, 9)),
+    st.tuples(st.just("wait"), st.sampled_from([0.01, 0.3, 1.1, 3.5])),
+    st.tuples(st.just("list"), st.sampled_from(NAMES), st.sampled_from(list(BoxState)), st.integers(1, 3)),
+    st.tuples(st.just("news"), st.sampled_from(list(Phase)), st.integers(0, 2)),
+)
+
+
+class Model:
+    """Keeps the whole history and judges each send from scratch."""
+
+    def __init__(self, bench: Bench) -> None:
+        self.bench = bench
+        self.terms = bench.umpire.release
+        self.boxes: dict[str, tuple[int, BoxState]] = {}
+        self.build, self.phase, self.stage, self.cap = -1, Phase.RELEASED, 0, 0.0
+        self.taken: list[tuple[float, str]] = []
+        self.sent: list[tuple[float, str, int]] = []
+        self.tries: dict[str, list[list]] = {}
+        self.over: set[str] = set()
+        self.met: dict[str, int] = {}
+
+    def may_have_run(self, req: Req) -> list[list]:
+        return [made for made in self.tries[req.id] if made[2] not in PROVES_UNRUN]
+
+    def permits(self, req: Req, name: str) -> bool:
+        now = self.bench.clock
+        build, state = self.boxes[name]
+        if req.id in self.over or state is not BoxState.READY:
+            return False
+        tries = self.tries[req.id]
+        out = [made for made in tries if made[2] is None]
+        if out or len(tries) >= 4:
+            return False
+        ran = self.may_have_run(req)
+        route = req.route
+        if ran and route.repeats is Repeats.NON_RETRIABLE:
+            return False
+        if ran and route.repeats is Repeats.DEDUPED:
+            if now >= ran[0][1] + route.dedupe_window:
+                return False
+            if route.group is Group.ZONE and ran[0][0][0] != name[0]:
+                return False
+        return self.exposure_permits(req, build, now)
+
+    def exposure_permits(self, req: Req, build: int, now: float) -> bool:
+        if self.terms.one_way and req.key and self.met.get(req.key, -1) > build:
+            return False
+        announced = build == self.build
+        if build < self.build or (announced and self.phase is Phase.RELEASED):
+            return True
+        cap, stage = (self.cap, self.stage) if announced else (self.terms.caps[0], 0)
+        if cap <= 0 or (stage < self.terms.closed_stages and req.route.repeats is not Repeats.RETRIABLE):
+            return False
+        since = now - self.terms.window
+        counts = [name for name in ROUTES if not self.terms.by_route or name == req.route.name]
+        sends = sum(at >= since and rev == build and route in counts for at, route, rev in self.sent)
+        reqs = sum(at > since and route in counts for at, route in self.taken)
+        return sends + 1 <= self.terms.spare_tries + cap * reqs
+
+    def may_shed(self, req: Req) -> bool:
+        route = req.route
+        if not self.may_have_run(req) or route.repeats is Repeats.RETRIABLE:
+            return True
+        return route.repeats is Repeats.DEDUPED and route.group is Group.ALL
+
+
+class Play:
+    """Feeds the same steps to the module and the model and holds the one against the other."""
+
+    def __init__(self, **terms: object) -> None:
+        self.bench = Bench(**terms)
+        self.model = Model(self.bench)
+        self.reqs: list[Req] = []
+        self.seen = 0
+        self.umpire = self.bench.umpire
+        self.umpire.build_allowed = self.watch(self.umpire.build_allowed)
+        self.bench.send = self.on_send
+        self.bench.shed = lambda req, _: self.on_answer(req, "shed")
+        self.bench.error = lambda req: self.on_answer(req, "error")
+
+    def watch(self, gate):
+        def watched(req: Req, box: Box, now: float) -> bool:
+            answer = gate(req, box, now)
+            assert answer is self.model.exposure_permits(req, box.build, now)
+            return answer
+        return watched
+
+    def find(self, req_id: str) -> Req:
+        return next((req for req in self.reqs if req.id == req_id), self.coming)
+
+    def on_send(self, req_id: str, name: str, patience: float) -> None:
+        req = self.find(req_id)
+        assert self.model.permits(req, name)
+        assert self.bench.clock + patience <= req.give_up + 1e-9
+        self.model.tries[req_id].append([name, self.bench.clock, None])
+        self.model.sent.append((self.bench.clock, req.route.name, self.model.boxes[name][0]))
+
+    def on_answer(self, req_id: str, answer: str) -> None:
+        assert req_id not in self.model.over
+        assert answer == "error" or self.model.may_shed(self.find(req_id))
+        self.model.over.add(req_id)
+
+    def take(self, route: str, key: str | None) -> None:
+        self.model.taken.append((self.bench.clock, route))
+        req_id = f"r{self.bench.count + 1}"
+        self.model.tries[req_id] = []
+        self.coming = Req(self.umpire, req_id, ROUTES[route], self.bench.clock + 3.0, key)
+        self.reqs.append(self.bench.take(route, key))
+
+    def end(self, index: int, outcome: Outcome) -> None:
+        out = [req for req in self.reqs if req.open_tries]
+        if not out:
+            return
+        req = out[index % len(out)]
+        made = self.model.tries[req.id][-1]
+        made[2] = outcome
+        final = outcome is Outcome.COMPLETED or req.id in self.model.over
+        if final:
+            self.model.over.add(req.id)
+        tracked = self.model.phase in (Phase.ON_TRIAL, Phase.RELEASED)
+        if outcome is Outcome.COMPLETED and req.key and tracked:
+            build = req.tries[-1].build
+            self.model.met[req.key] = max(build, self.model.met.get(req.key, -1))
+        self.bench.sends.append((req.id, made[0], 0.0))
+        req.ended(len(req.tries) - 1, outcome, 0.1, final)
+        assert final or req.id in self.model.over or req.open_tries, "neither answered nor sent on"
+
+    def leave(self, index: int) -> None:
+        if self.reqs:
+            req = self.reqs[index % len(self.reqs)]
+            self.model.over.add(req.id)
+            req.left()
+
+    def wait(self, span: float) -> None:
+        self.bench.pass_time(span)
+
+    def list(self, name: str, state: BoxState, build: int) -> None:
+        if state is BoxState.GONE:
+            self.model.boxes.pop(name, None)
+        else:
+            self.model.boxes[name] = (build, state)
+        self.bench.list_boxes({name: build}, ListKind.CHANGES, state=state)
+
+    def news(self, phase: Phase, stage: int) -> None:
+        cap = self.model.terms.caps[stage] if phase is not Phase.GOING_BACK else 0.0
+        model = self.model
+        model.build, model.phase, model.stage, model.cap = 2, phase, stage, cap
+        if phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
+            model.met = {key: build for key, build in model.met.items() if build != 2}
+        self.bench.trial(stage, phase, cap)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.lists(steps, max_size=60), st.booleans(), st.booleans(), st.integers(0, 2))
+def test_module_and_model_agree(acts: list, by_route: bool, one_way: bool, closed: int) -> None:
+    play = Play(by_route=by_route, one_way=one_way, closed_stages=closed)
+    for name, build in zip(NAMES, (1, 1, 2, 2), strict=True):
+        play.list(name, BoxState.READY, build)
+    play.news(Phase.ON_TRIAL, 0)
+    for name, *args in acts:
+        getattr(play, name)(*args)
+        for req in play.reqs[-3:]:
+            for box in list(play.umpire.boxes.values()):
+                assert play.umpire.allowed(req, box, play.bench.clock) is play.model.permits(req, box.id)
