--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -231,7 +231,7 @@
             if now - self.cut_at >= CUT_EVERY:
                 self.width = max(WIDTH_LEAST, min(self.width, (self.open + 1) / max(1, boxes)) * WIDTH_CUT)
                 self.cut_at = now
-        elif self.open >= self.width * boxes / 2:
+        elif self.open + 1 >= self.width * boxes / 2:
             self.width = min(WIDTH, self.width + WIDTH_UP)
 
 
