--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -41,6 +41,7 @@
 SLOW_RATIO = 1.5  # times the other build's median time that sends a build back
 SLOW_LEAST = 20  # outcomes that the median needs
 SLOW_Z = 3.5  # standard errors of the rank test: the median of few, looked at often, strays by half
+SHARED_RATIO = 2.0  # times the usual time from before the trial: load alone moves all boxes by less
 SHARED_SIGHT = 4.0  # s of times of all builds held against those from before the trial
 SHARED_FOR = 4.0  # s that all boxes must be slow before it counts against the build; passing jams are shorter
 SLICE = 2.0  # s whose times are compared: shorter than jams, long enough for some of each build
@@ -102,7 +103,7 @@
     return times
 
 
-def slower(cands: Times, bases: Times) -> bool:
+def slower(cands: Times, bases: Times, by: float) -> bool:
     """Whether `cands` are beyond doubt slower than `bases`, all routes and slices weighed together.
 
     One umpire sees few of each route early in a trial; relative to the base's median they add up.
@@ -117,7 +118,7 @@
             wins, spread = rank_surplus(cand, base)
             surplus += wins
             variance += spread
-    return len(ratios) >= SLOW_LEAST and median(ratios) > SLOW_RATIO and surplus > SLOW_Z * sqrt(variance)
+    return len(ratios) >= SLOW_LEAST and median(ratios) > by and surplus > SLOW_Z * sqrt(variance)
 
 
 class Try:
@@ -559,12 +560,12 @@
         bases = {route: self.earlier(route, cand[0][0]) if cand else [] for route, cand in cands.items()}
         worse = {route for route, cand in cands.items() if self.fails_more(cand, bases[route], FAIL_LEAST)}
         self.failing |= worse
-        if not slower(self.recent(now - SHARED_SIGHT), self.calm):
+        if not slower(self.recent(now - SHARED_SIGHT), self.calm, SHARED_RATIO):
             self.slowed_at = None
         elif self.slowed_at is None:
             self.slowed_at = now
         shared = self.slowed_at is not None and now - self.slowed_at >= SHARED_FOR
-        slow = slower(sliced(cands), sliced(bases))
+        slow = slower(sliced(cands), sliced(bases), SLOW_RATIO)
         if worse or slow or (shared and self.phase is Phase.ON_TRIAL):
             self.cast(Verdict.BACK, now, f"failing {sorted(worse)}, slow {slow}, all slow {shared}")
         elif self.phase is Phase.ON_TRIAL and not self.release.timed:
