--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -490,7 +490,7 @@
         carry = sum(self.warmth(box, now) for box in trial if box.out_until <= now)
         earlier = sum(box.ready and not self.on_trial(box.build) for box in self.boxes.values())
         even = carry / max(1, carry + earlier)
-        aim = max(even, aim) if cap >= 1 else min(aim, CROWD * even)
+        aim = min(max(even, aim) if cap >= 1 else aim, CROWD * even)
         step = (now - self.share_at) / RAMP * CAP_USE * cap
         self.share = aim if aim <= self.share else min(aim, self.share + step)
         self.share_at = now
