--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -482,17 +482,20 @@
         return len(ready)
 
     def update_share(self, now: float) -> None:
-        """The share moves toward 0.8 of the cap, over the ramp, as far as the listed boxes can carry it."""
+        """The share moves toward 0.8 of the cap, over the ramp, as far as the listed boxes can carry it.
+
+        It falls only with the cap: a key that met the new build stays there, whatever its boxes suffer.
+        """
         trial = [box for box in self.boxes.values() if box.ready and self.on_trial(box.build)]
         announced = [box for box in trial if box.build == self.build]
         cap = self.cap if announced else self.release.caps[0]
         aim = CAP_USE * cap
-        carry = sum(self.warmth(box, now) for box in trial if box.out_until <= now)
+        carry = sum(self.warmth(box, now) for box in trial)
         earlier = sum(box.ready and not self.on_trial(box.build) for box in self.boxes.values())
         even = carry / max(1, carry + earlier)
         aim = min(max(even, aim) if cap >= 1 else aim, CROWD * even)
         step = (now - self.share_at) / RAMP * CAP_USE * cap
-        self.share = aim if aim <= self.share else min(aim, self.share + step)
+        self.share = min(max(self.share, min(aim, self.share + step)), cap)
         self.share_at = now
 
     def pick(self, req: Req, now: float) -> Box | None:
