--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -44,6 +44,7 @@
 SHARED_RATIO = 2.0  # times the usual time from before the trial: load alone moves all boxes by less
 SHARED_SIGHT = 4.0  # s of times of all builds held against those from before the trial
 SHARED_FOR = 4.0  # s that all boxes must be slow before it counts against the build; passing jams are shorter
+SHARED_AFTER = 10.0  # s after a release in which that still counts: only then does it bear all the traffic
 SLICE = 2.0  # s whose times are compared: shorter than jams, long enough for some of each build
 BASE_LEAST = 3  # times of the earlier build that make a slice count
 CLEAN_LEAST = 5  # outcomes without a failure that allow a vote to move on
@@ -265,6 +266,7 @@
         self.seen: dict[tuple[int, str], deque[Seen]] = defaultdict(deque)
         self.calm: Times = {}
         self.slowed_at: float | None = None
+        self.released_at = 0.0
         self.verdict = Verdict.NONE
         self.voted_at = 0.0
         if grounds.may_subscribe:
@@ -298,6 +300,8 @@
             return
         if build != self.build or phase is not self.phase or stage != self.stage:
             self.verdict = Verdict.NONE
+        if phase is Phase.RELEASED and self.phase is Phase.ON_TRIAL:
+            self.released_at = self.host.now()
         if build != self.build:
             self.share = 0.0
             self.failing = set()
@@ -568,8 +572,9 @@
         elif self.slowed_at is None:
             self.slowed_at = now
         shared = self.slowed_at is not None and now - self.slowed_at >= SHARED_FOR
+        new = self.phase is Phase.ON_TRIAL or now - self.released_at < SHARED_AFTER
         slow = slower(sliced(cands), sliced(bases), SLOW_RATIO)
-        if worse or slow or (shared and self.phase is Phase.ON_TRIAL):
+        if worse or slow or (shared and new):
             self.cast(Verdict.BACK, now, f"failing {sorted(worse)}, slow {slow}, all slow {shared}")
         elif self.phase is Phase.ON_TRIAL and not self.release.timed:
             newest = [box.age(now) for box in self.boxes.values() if box.build == self.build and box.ready]
