--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -13,7 +13,7 @@
 from collections import defaultdict, deque
 from collections.abc import Iterable, Mapping, Sequence
 from hashlib import blake2b
-from math import sqrt
+from math import log, sqrt
 from statistics import median
 
 from gullmount.interface import (
@@ -41,9 +41,9 @@
 SLOW_RATIO = 1.5  # times the other build's median time that sends a build back
 SLOW_LEAST = 20  # outcomes that the median needs
 SLOW_Z = 3.5  # standard errors of the rank test: the median of few, looked at often, strays by half
-SHARED_RATIO = 2.0  # times the usual time from before the trial: load alone moves all boxes by less
+SHARED_RATIO = 1.5  # times the usual time from before the trial that load alone may bring
 SHARED_SIGHT = 4.0  # s of times of all builds held against those from before the trial
-SHARED_FOR = 4.0  # s that all boxes must be slow before it counts against the build; passing jams are shorter
+SHARED_LIMIT = 1.2  # log of the ratio beyond that, summed over s: 4 s at 2 times, 2 s at 3 times the usual
 SHARED_AFTER = 10.0  # s after a release in which that still counts: only then does it bear all the traffic
 SLICE = 2.0  # s whose times are compared: shorter than jams, long enough for some of each build
 BASE_LEAST = 3  # times of the earlier build that make a slice count
@@ -104,8 +104,8 @@
     return times
 
 
-def slower(cands: Times, bases: Times, by: float) -> bool:
-    """Whether `cands` are beyond doubt slower than `bases`, all routes and slices weighed together.
+def slowness(cands: Times, bases: Times) -> float:
+    """How many times slower `cands` are than `bases`, all routes and slices weighed together; 1 in doubt.
 
     One umpire sees few of each route early in a trial; relative to the base's median they add up.
     """
@@ -119,7 +119,8 @@
             wins, spread = rank_surplus(cand, base)
             surplus += wins
             variance += spread
-    return len(ratios) >= SLOW_LEAST and median(ratios) > by and surplus > SLOW_Z * sqrt(variance)
+    sure = len(ratios) >= SLOW_LEAST and surplus > SLOW_Z * sqrt(variance)
+    return median(ratios) if sure else 1.0
 
 
 class Try:
@@ -265,7 +266,7 @@
         # The judge
         self.seen: dict[tuple[int, str], deque[Seen]] = defaultdict(deque)
         self.calm: Times = {}
-        self.slowed_at: float | None = None
+        self.slowed = 0.0
         self.released_at = 0.0
         self.verdict = Verdict.NONE
         self.voted_at = 0.0
@@ -306,7 +307,7 @@
             self.share = 0.0
             self.failing = set()
             self.calm = self.recent(0.0)
-            self.slowed_at = None
+            self.slowed = 0.0
         if phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
             self.met = {key: met for key, met in self.met.items() if met != build}
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
@@ -567,13 +568,11 @@
         bases = {route: self.earlier(route, cand[0][0]) if cand else [] for route, cand in cands.items()}
         worse = {route for route, cand in cands.items() if self.fails_more(cand, bases[route], FAIL_LEAST)}
         self.failing |= worse
-        if not slower(self.recent(now - SHARED_SIGHT), self.calm, SHARED_RATIO):
-            self.slowed_at = None
-        elif self.slowed_at is None:
-            self.slowed_at = now
-        shared = self.slowed_at is not None and now - self.slowed_at >= SHARED_FOR
+        excess = log(slowness(self.recent(now - SHARED_SIGHT), self.calm) / SHARED_RATIO)
+        self.slowed = max(0.0, self.slowed + excess * JUDGE_EVERY)
+        shared = self.slowed >= SHARED_LIMIT
         new = self.phase is Phase.ON_TRIAL or now - self.released_at < SHARED_AFTER
-        slow = slower(sliced(cands), sliced(bases), SLOW_RATIO)
+        slow = slowness(sliced(cands), sliced(bases)) > SLOW_RATIO
         if worse or slow or (shared and new):
             self.cast(Verdict.BACK, now, f"failing {sorted(worse)}, slow {slow}, all slow {shared}")
         elif self.phase is Phase.ON_TRIAL and not self.release.timed:
@@ -583,7 +582,7 @@
             clean = sum(len(cand) for cand in cands.values()) - failures
             enough = clean >= SLOW_LEAST or (clean >= CLEAN_LEAST and not failures)
             doubt = any(self.fails_more(cand, bases[route], 1) for route, cand in cands.items())
-            if settled and enough and not doubt and self.slowed_at is None:
+            if settled and enough and not doubt and not self.slowed:
                 self.cast(Verdict.ON, now, f"clean {clean}, failed {failures}")
 
     def earlier(self, route: str, since: float) -> list[Seen]:
