--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -43,7 +43,7 @@
 SLOW_Z = 3.5  # standard errors of the rank test: the median of few, looked at often, strays by half
 SHARED_RATIO = 1.5  # times the usual time from before the trial that load alone may bring
 SHARED_SIGHT = 4.0  # s of times of all builds held against those from before the trial
-SHARED_LIMIT = 1.2  # log of the ratio beyond that, summed over s: 4 s at 2 times, 2 s at 3 times the usual
+SHARED_LIMIT = 0.5  # log of the ratio beyond that, times the build's share, summed over s: 5 s at 2 times, 0.35
 SHARED_AFTER = 10.0  # s after a release in which that still counts: only then does it bear all the traffic
 SLICE = 2.0  # s whose times are compared: shorter than jams, long enough for some of each build
 BASE_LEAST = 3  # times of the earlier build that make a slice count
@@ -569,7 +569,8 @@
         worse = {route for route, cand in cands.items() if self.fails_more(cand, bases[route], FAIL_LEAST)}
         self.failing |= worse
         excess = log(slowness(self.recent(now - SHARED_SIGHT), self.calm) / SHARED_RATIO)
-        self.slowed = max(0.0, self.slowed + excess * JUDGE_EVERY)
+        weight = self.share if self.phase is Phase.ON_TRIAL else 1.0
+        self.slowed = max(0.0, self.slowed + excess * weight * JUDGE_EVERY)
         shared = self.slowed >= SHARED_LIMIT
         new = self.phase is Phase.ON_TRIAL or now - self.released_at < SHARED_AFTER
         slow = slowness(sliced(cands), sliced(bases)) > SLOW_RATIO
