--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -306,8 +306,11 @@
         if build != self.build:
             self.share = 0.0
             self.failing = set()
-            self.calm = self.recent(0.0)
+            self.calm = {}
             self.slowed = 0.0
+        if sum(map(len, self.calm.values())) < SLOW_LEAST:
+            # An umpire started during the trial has no times from before: its first ones must do.
+            self.calm = self.recent(0.0)
         if phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
             self.met = {key: met for key, met in self.met.items() if met != build}
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
