--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -65,6 +65,8 @@
 FORGET = 3.0  # s in which half of what a box's old times say is forgotten, so that it is tried again
 TRY_OBJECTIVE = 1.0  # latency objectives that a try may take while another could follow
 LATE = 0.7  # of the latency objective: slower answers say that too much is out
+LATE_SHARE = 0.08  # late among recent answers from which on too much is out; calm fleets stay below
+LATE_SMOOTH = 0.05  # weight of the newest answer in that share: about the last twenty
 WIDTH = 4.0  # tries out a box at first, by one umpire; above need, so that a calm start is not held back
 WIDTH_UP = 0.03  # tries a box more after each answer in time, while half the width is used
 WIDTH_CUT = 0.8  # times the width after a late answer
@@ -227,11 +229,13 @@
     def __init__(self) -> None:
         self.width = WIDTH
         self.open = 0
+        self.late = 0.0
         self.cut_at = 0.0
 
     def note(self, late: bool, boxes: int, now: float) -> None:
+        self.late += LATE_SMOOTH * (late - self.late)
         if late:
-            if now - self.cut_at >= CUT_EVERY:
+            if self.late > LATE_SHARE and now - self.cut_at >= CUT_EVERY:
                 self.width = max(WIDTH_LEAST, min(self.width, (self.open + 1) / max(1, boxes)) * WIDTH_CUT)
                 self.cut_at = now
         elif self.open + 1 >= self.width * boxes / 2:
