--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -338,7 +338,7 @@
         made = req.tries[number]
         req.open_tries.discard(number)
         made.box.open -= 1
-        self.note_health(made.box, outcome, latency, now)
+        self.note_health(made.box, outcome, latency, req.route.objective, now)
         self.note_evidence(req, made, outcome, latency, now)
         width = self.widths[made.build]
         width.open -= 1
@@ -539,17 +539,25 @@
     def spread(self) -> float:
         return 1 + SPREAD * self.random()
 
-    def note_health(self, box: Box, outcome: Outcome, latency: float, now: float) -> None:
-        if outcome in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT, Outcome.RESET):
+    def note_health(self, box: Box, outcome: Outcome, latency: float, objective: float, now: float) -> None:
+        """Failures in a row take a box out; an error counts as an answer that took the whole objective.
+
+        Guards against a box that fails fast: it looks idle and quick, and draws the keys of all the others.
+        Covers any box that answers much worse than its peers. Harm: a build that errs on one route has its
+        boxes avoided for other routes too, until the judge has it sent back.
+        """
+        if outcome in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT, Outcome.RESET, Outcome.ERROR):
             box.failing += 1
             if box.failing >= EJECT_AFTER and box.out_until <= now:
                 box.out_until = now + box.out_for * (0.75 + 0.5 * self.random())
                 box.out_for = min(EJECT_MOST, box.out_for * 2)
-        elif outcome in (Outcome.COMPLETED, Outcome.ERROR):
+        elif outcome is Outcome.COMPLETED:
             box.failing = 0
             box.out_until = 0.0
             box.out_for = EJECT_FOR
-        if outcome in (Outcome.COMPLETED, Outcome.TIMEOUT):
+        if outcome is Outcome.ERROR:
+            latency = max(latency, objective)
+        if outcome in (Outcome.COMPLETED, Outcome.TIMEOUT, Outcome.ERROR):
             box.time = box.expected(now)
             box.time += SMOOTH * (latency - box.time)
             box.told = now
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -160,6 +160,18 @@
     assert any(box == "a0" for _, box, _ in bench.sends)
 
 
+def test_box_that_fails_fast_does_not_draw_the_keys() -> None:
+    bench = Bench()
+    bench.list_boxes(EARLIER)
+    bench.trial(build=1, phase=Phase.RELEASED)
+    for _ in range(100):
+        req = bench.take("pay")
+        broken = req.tries[-1].box.id == "a0"
+        bench.pass_time(0.005 if broken else 0.1)
+        bench.finish(req, Outcome.ERROR if broken else Outcome.COMPLETED, 0.005 if broken else 0.1)
+    assert sum(box == "a0" for _, box, _ in bench.sends) <= 8
+
+
 def test_refused_list_is_asked_again() -> None:
     bench = Bench(may_subscribe=True)
     bench.umpire.listed(ListKind.REFUSED, [])
