--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -13,7 +13,7 @@
 from collections import defaultdict, deque
 from collections.abc import Iterable, Mapping, Sequence
 from hashlib import blake2b
-from math import log, sqrt
+from math import ceil, log, sqrt
 from statistics import median
 
 from gullmount.interface import (
@@ -38,6 +38,7 @@
 # The judge (design page)
 FAIL_MARGIN = 0.02  # failures more, as a share, that send a build back
 FAIL_LEAST = 3  # failures that must have been seen for that
+SPARE_BOXES = 0.25  # of the boxes, those that fail most, are left out: broken ones are fewer than that
 SLOW_RATIO = 1.5  # times the other build's median time that sends a build back
 SLOW_LEAST = 20  # outcomes that the median needs
 SLOW_Z = 3.5  # standard errors of the rank test: the median of few, looked at often, strays by half
@@ -79,7 +80,7 @@
 ASK_MOST = 4.0  # s
 RATE_OVER = 5.0  # s over which the rate of answers is taken; long enough for umpires with a few a second
 
-Seen = tuple[float, float, bool]  # when a try ended, its time (below 0: says nothing), whether it failed
+Seen = tuple[float, float, bool, str]  # when a try ended, its time (below 0: says nothing), failure, box
 Times = dict[tuple[str, int], list[float]]  # by route and slice
 
 
@@ -100,7 +101,7 @@
     """Times by route and slice of time, so that only the same seconds are compared."""
     times: Times = defaultdict(list)
     for route, seen in outcomes.items():
-        for at, time, _ in seen:
+        for at, time, _, _ in seen:
             if time >= 0:
                 times[route, int(at / SLICE)].append(time)
     return times
@@ -568,7 +569,7 @@
         if outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.TIMEOUT):
             young = made.box.age(made.sent) < YOUNG
             time = -1.0 if young or outcome is Outcome.ERROR else latency
-            self.seen[made.build, req.route.name].append((now, time, outcome is Outcome.ERROR))
+            self.seen[made.build, req.route.name].append((now, time, outcome is Outcome.ERROR, made.box.id))
 
     def judge(self) -> None:
         """Compare both builds for each route over the same seconds and vote."""
@@ -594,7 +595,7 @@
         elif self.phase is Phase.ON_TRIAL and not self.release.timed:
             newest = [box.age(now) for box in self.boxes.values() if box.build == self.build and box.ready]
             settled = bool(newest) and min(newest) >= SETTLE
-            failures = sum(failed for cand in cands.values() for _, _, failed in cand)
+            failures = sum(failed for cand in cands.values() for _, _, failed, _ in cand)
             clean = sum(len(cand) for cand in cands.values()) - failures
             enough = clean >= SLOW_LEAST or (clean >= CLEAN_LEAST and not failures)
             doubt = any(self.fails_more(cand, bases[route], 1) for route, cand in cands.items())
@@ -612,13 +613,24 @@
         """Times on each route since then, whatever the build."""
         times: Times = defaultdict(list)
         for (_, route), outcomes in self.seen.items():
-            times[route, 0] += [time for at, time, _ in outcomes if at >= since and time >= 0]
+            times[route, 0] += [time for at, time, _, _ in outcomes if at >= since and time >= 0]
         return times
 
     def fails_more(self, cand: Sequence[Seen], base: Sequence[Seen], least: int) -> bool:
-        failed = sum(failure for _, _, failure in cand)
-        base_share = sum(failure for _, _, failure in base) / len(base) if base else 0.0
-        return failed >= least and failed / len(cand) > base_share + FAIL_MARGIN
+        """Whether the newest build fails more, even without the boxes that fail most.
+
+        Guards against a few broken boxes that convict a good build. Covers any trouble of single boxes.
+        Harm: a build that fails only at its oldest boxes is seen a little later.
+        """
+        boxes: dict[str, list[int]] = defaultdict(lambda: [0, 0])
+        for _, _, failure, box in cand:
+            boxes[box][0] += failure
+            boxes[box][1] += 1
+        spared = ceil(len(boxes) * SPARE_BOXES) if len(boxes) > 1 else 0
+        counts = sorted(boxes.values(), key=lambda count: -count[0])[spared:]
+        failed = sum(failures for failures, _ in counts)
+        base_share = sum(failure for _, _, failure, _ in base) / len(base) if base else 0.0
+        return failed >= least and failed / sum(total for _, total in counts) > base_share + FAIL_MARGIN
 
     def cast(self, verdict: Verdict, now: float, why: str) -> None:
         renew = min(RENEW, RENEW_LIFE * self.release.vote_life)
