--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -45,6 +45,7 @@
 SHARED_RATIO = 1.5  # times the usual time from before the trial that load alone may bring
 SHARED_SIGHT = 4.0  # s of times of all builds held against those from before the trial
 SHARED_LIMIT = 0.5  # log of the ratio beyond that, times the build's share, summed over s
+RELEASED_WEIGHT = 0.4  # the share taken after a release: the bound on tries needs s to clear a plain jam
 SHARED_AFTER = 5.0  # s after a release in which that still counts: only then does it bear all the traffic
 SLICE = 2.0  # s whose times are compared: shorter than jams, long enough for some of each build
 BASE_LEAST = 3  # times of the earlier build that make a slice count
@@ -585,7 +586,7 @@
         worse = {route for route, cand in cands.items() if self.fails_more(cand, bases[route], FAIL_LEAST)}
         self.failing |= worse
         excess = log(slowness(self.recent(now - SHARED_SIGHT), self.calm) / SHARED_RATIO)
-        weight = self.share if self.phase is Phase.ON_TRIAL else 1.0
+        weight = self.share if self.phase is Phase.ON_TRIAL else RELEASED_WEIGHT
         self.slowed = max(0.0, self.slowed + excess * weight * JUDGE_EVERY)
         shared = self.slowed >= SHARED_LIMIT
         new = self.phase is Phase.ON_TRIAL or now - self.released_at < SHARED_AFTER
