--- a/gullmount/benchlink/link.py
+++ b/gullmount/benchlink/link.py
@@ -117,8 +117,6 @@
     }
     release = ReleaseTerms(
         caps=specifics["ExposureCaps"],
-        shares=specifics["Shares"],
-        beside=specifics["Swap"] == "beside",
         by_route=specifics["CountedBy"] == "class",
         closed_stages=specifics["ClosedStages"],
         one_way=specifics["OneWay"],
@@ -132,13 +130,10 @@
         routes=routes,
         release=release,
         zone=profile["Zone"],
-        drain_grace=seconds(rules["StopSendingWithinUs"]),
         cold_share=rules["ColdFrom"],
         warm_time=seconds(rules["WarmAfterUs"]),
         tip_multiple=rules["TipMultiple"],
-        tip_time=seconds(rules["OverloadForUs"]),
         max_tries=ceilings["MaxAttempts"],
-        parallel_tries=ceilings["ParallelTries"],
         may_subscribe=profile["Discovery"] == "subscribe",
         max_retry_after=seconds(ceilings["MaxRetryAfterUs"]) if ceilings["RetryAfter"] else 0.0,
     )
@@ -169,9 +164,6 @@
     def send(self, req: str, box: str, patience: float) -> None:
         self.act("Relay", Id=req, Box=box, PatienceUs=micros(patience))
 
-    def cancel(self, req: str, upstream_try: int) -> None:
-        self.act("AbortAttempt", Id=req, Hop=upstream_try)
-
     def shed(self, req: str, retry_after: float) -> None:
         self.act("Refuse", Id=req, ComeBackUs=micros(retry_after))
 
--- a/gullmount/interface.py
+++ b/gullmount/interface.py
@@ -81,8 +81,6 @@
     """How builds are offered and what votes bring about."""
 
     caps: Sequence[float]
-    shares: Sequence[float]
-    beside: bool
     by_route: bool
     closed_stages: int
     one_way: bool
@@ -100,13 +98,10 @@
     routes: Mapping[str, Route]
     release: ReleaseTerms
     zone: str
-    drain_grace: float
     cold_share: float
     warm_time: float
     tip_multiple: float
-    tip_time: float
     max_tries: int
-    parallel_tries: bool
     may_subscribe: bool
     max_retry_after: float
 
@@ -131,8 +126,6 @@
 
     def send(self, req: str, box: str, patience: float) -> None: ...
 
-    def cancel(self, req: str, upstream_try: int) -> None: ...
-
     def shed(self, req: str, retry_after: float) -> None: ...
 
     def error(self, req: str) -> None: ...
--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -2,7 +2,7 @@
 
 How to call it: make one `Umpire(host, grounds)` for each instance; the types and what is asked of the host
 are in gullmount/interface.py. `umpire.take(...)` returns a `Req`; all that later happens to the req is a
-call on it (`ended`, `begun`, `left`). News about boxes, builds and counts goes to `listed`, `news` and
+call on it (`ended`, `begun`, `left`). News about boxes and builds goes to `listed`, `news` and
 `vote_failed`. Answers leave through the host at once, in the same call.
 """
 
@@ -81,6 +81,8 @@
 ASK_MOST = 4.0  # s
 RATE_OVER = 5.0  # s over which the rate of answers is taken; long enough for umpires with a few a second
 
+TAKEN_OFF = (Phase.GOING_BACK, Phase.WITHDRAWN)
+PROVES_UNRUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 Seen = tuple[float, float, bool, str]  # when a try ended, its time (below 0: says nothing), failure, box
 Times = dict[tuple[str, int], list[float]]  # by route and slice
 
@@ -90,6 +92,11 @@
     return int.from_bytes(blake2b(key.encode(), digest_size=8).digest()) / 2**64
 
 
+def drop_before(times: deque[float], since: float) -> None:
+    while times and times[0] < since:
+        times.popleft()
+
+
 def rank_surplus(high: Sequence[float], low: Sequence[float]) -> tuple[float, float]:
     """By how many pairs `high` ranks above `low` beyond chance, and that count's variance (Mann-Whitney)."""
     ordered = sorted(low)
@@ -133,6 +140,7 @@
     def __init__(self, box: Box, sent: float) -> None:
         self.box = box
         self.build = box.build
+        self.group = (box.zone, box.cell)
         self.sent = sent
 
 
@@ -183,12 +191,10 @@
         self.route = route
         self.give_up = give_up
         self.key = key
-        self.taken = umpire.host.now()
         self.tries: list[Try] = []
         self.open_tries: set[int] = set()
         self.settled = False
-        self.may_have_run = False
-        self.group_of: Box | None = None
+        self.group_of: tuple[str, int] | None = None  # zone and cell of the first try that may have run
         self.group_until = 0.0
         self.hash = place(key or req_id)
 
@@ -215,8 +221,7 @@
         sends = self.sends[build]
         while self.reqs and self.reqs[0] <= since:
             self.reqs.popleft()
-        while sends and sends[0] < since:
-            sends.popleft()
+        drop_before(sends, since)
         return len(sends) + 1 <= spare + cap * len(self.reqs)
 
 
@@ -289,6 +294,7 @@
             self.host.call_after(self.ask_again * (0.5 + self.random()), self.host.subscribe)
             self.ask_again = min(ASK_MOST, self.ask_again * 2)
             return
+        self.ask_again = ASK_AGAIN
         if kind is ListKind.FULL:
             named = {line.box for line in lines}
             for box in [box for box in self.boxes.values() if box.id not in named]:
@@ -317,7 +323,7 @@
         if sum(map(len, self.calm.values())) < SLOW_LEAST:
             # An umpire started during the trial has no times from before: its first ones must do.
             self.calm = self.recent(0.0)
-        if phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
+        if phase in TAKEN_OFF:
             self.met = {key: met for key, met in self.met.items() if met != build}
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
 
@@ -330,7 +336,9 @@
     def take(self, req_id: str, route: str, give_up: float, key: str | None) -> Req:
         now = self.host.now()
         req = Req(self, req_id, self.grounds.routes[route], give_up, key)
-        self.ledger(req).reqs.append(now)
+        ledger = self.ledger(req)
+        ledger.reqs.append(now)
+        drop_before(ledger.reqs, now - self.release.window)
         self.retries = min(RETRY_ROOM, self.retries + RETRY_RATIO)
         self.advance(req)
         return req
@@ -347,25 +355,17 @@
         if outcome in (Outcome.COMPLETED, Outcome.TIMEOUT, Outcome.FULL):
             late = outcome is not Outcome.COMPLETED or latency > LATE * req.route.objective
             width.note(late, self.in_service(made.build, now), now)
-        if outcome is Outcome.COMPLETED and req.key is not None and self.phase in (
-            Phase.ON_TRIAL, Phase.RELEASED
-        ):
-            self.met[req.key] = max(made.build, self.met.get(req.key, -1))
-        if final:
-            req.settled = True
+        req.settled = req.settled or final
         if outcome is Outcome.COMPLETED:
+            if self.release.one_way and req.key is not None and self.phase not in TAKEN_OFF:
+                self.met[req.key] = max(made.build, self.met.get(req.key, -1))
             self.answered.append(now)
-        if outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
-            self.note_may_have_run(req, made)
+            drop_before(self.answered, now - RATE_OVER)
+        if outcome not in PROVES_UNRUN and req.group_of is None:
+            req.group_of, req.group_until = made.group, made.sent + req.route.dedupe_window
         if not req.settled and not req.open_tries:
             self.advance(req)
 
-    def note_may_have_run(self, req: Req, made: Try) -> None:
-        req.may_have_run = True
-        if req.group_of is None:
-            req.group_of = made.box
-            req.group_until = made.sent + req.route.dedupe_window
-
     def advance(self, req: Req) -> None:
         """Send the req on, or end it at once: a req that is given up is never sat on."""
         now = self.host.now()
@@ -389,7 +389,9 @@
         could_follow = req.route.repeats is not Repeats.NON_RETRIABLE
         if could_follow and len(req.tries) + 1 < self.grounds.max_tries:
             patience = max(left / 2, min(left, TRY_OBJECTIVE * req.route.objective))
-        self.ledger(req).sends[box.build].append(now)
+        sends = self.ledger(req).sends[box.build]
+        sends.append(now)
+        drop_before(sends, now - self.release.window)
         box.credit -= 1
         box.open += 1
         self.widths[box.build].open += 1
@@ -398,9 +400,7 @@
         self.host.send(req.id, box.id, patience)
 
     def may_shed(self, req: Req) -> bool:
-        if req.open_tries:
-            return req.route.repeats is Repeats.RETRIABLE
-        if not req.may_have_run or req.route.repeats is Repeats.RETRIABLE:
+        if req.group_of is None or req.route.repeats is Repeats.RETRIABLE:
             return True
         return req.route.repeats is Repeats.DEDUPED and req.route.group is Group.ALL
 
@@ -413,30 +413,20 @@
         return build > self.build or (build == self.build and self.phase is not Phase.RELEASED)
 
     def allowed(self, req: Req, box: Box, now: float) -> bool:
-        if not box.ready or len(req.tries) >= self.grounds.max_tries or req.settled:
+        if not box.ready or req.settled or req.open_tries or len(req.tries) >= self.grounds.max_tries:
             return False
-        if req.open_tries and not self.grounds.parallel_tries:
-            return False
-        return (
-            self.repeat_allowed(req, box, now)
-            and self.build_allowed(req, box, now)
-            and self.warm_enough(box, now)
-        )
+        may_go = self.repeat_allowed(req, box, now) and self.build_allowed(req, box, now)
+        return may_go and self.warm_enough(box, now)
 
     def repeat_allowed(self, req: Req, box: Box, now: float) -> bool:
-        route = req.route
-        unknown = req.may_have_run or bool(req.open_tries)
-        if not unknown or route.repeats is Repeats.RETRIABLE:
+        route, first = req.route, req.group_of
+        if first is None or route.repeats is Repeats.RETRIABLE:
             return True
-        if route.repeats is Repeats.NON_RETRIABLE:
-            return False
-        first = req.group_of or req.tries[min(req.open_tries)].box
-        until = req.group_until or req.tries[min(req.open_tries)].sent + route.dedupe_window
-        if now >= until:
+        if route.repeats is Repeats.NON_RETRIABLE or now >= req.group_until:
             return False
         if route.group is Group.ZONE:
-            return box.zone == first.zone
-        return route.group is Group.ALL or box.cell == first.cell
+            return box.zone == first[0]
+        return route.group is Group.ALL or box.cell == first[1]
 
     def build_allowed(self, req: Req, box: Box, now: float) -> bool:
         if self.release.one_way and req.key is not None and self.met.get(req.key, -1) > box.build:
@@ -466,10 +456,8 @@
         warmth = self.warmth(box, now)
         if warmth >= 1:
             return True
-        while self.answered and self.answered[0] < now - RATE_OVER:
-            self.answered.popleft()
         rate = len(self.answered) / max(1.0, min(RATE_OVER, now - self.born))
-        usual = rate / max(1, self.places())
+        usual = rate / max(1, len(self.ready(on_trial=False) + self.ready(on_trial=True)))
         earned = (now - box.credited) * usual * warmth * self.grounds.tip_multiple / 2
         box.credit = min(1.0, box.credit + earned)
         box.credited = now
@@ -488,25 +476,19 @@
             most = min([most] + [other.width for rev, other in self.widths.items() if not self.on_trial(rev)])
         return width.open < max(1.0, most * self.in_service(build, now))
 
-    def places(self) -> int:
-        ready = [box for box in self.boxes.values() if box.ready]
-        if self.release.beside:
-            earlier = sum(1 for box in ready if not self.on_trial(box.build))
-            return earlier or len(ready)
-        return len(ready)
+    def ready(self, on_trial: bool) -> list[Box]:
+        return [box for box in self.boxes.values() if box.ready and self.on_trial(box.build) is on_trial]
 
     def update_share(self, now: float) -> None:
         """The share moves toward 0.8 of the cap, over the ramp, as far as the listed boxes can carry it.
 
         It falls only with the cap: a key that met the new build stays there, whatever its boxes suffer.
         """
-        trial = [box for box in self.boxes.values() if box.ready and self.on_trial(box.build)]
-        announced = [box for box in trial if box.build == self.build]
-        cap = self.cap if announced else self.release.caps[0]
+        trial = self.ready(on_trial=True)
+        cap = self.cap if any(box.build == self.build for box in trial) else self.release.caps[0]
         aim = CAP_USE * cap
         carry = sum(self.warmth(box, now) for box in trial)
-        earlier = sum(box.ready and not self.on_trial(box.build) for box in self.boxes.values())
-        even = carry / max(1, carry + earlier)
+        even = carry / max(1, carry + len(self.ready(on_trial=False)))
         aim = min(max(even, aim) if cap >= 1 else aim, CROWD * even)
         step = (now - self.share_at) / RAMP * CAP_USE * cap
         self.share = min(max(self.share, min(aim, self.share + step)), cap)
@@ -518,28 +500,29 @@
         roomy = {build: self.has_room(build, now) for build in {box.build for box in self.boxes.values()}}
         allowed = [box for box in self.boxes.values() if roomy[box.build] and self.allowed(req, box, now)]
         wants_trial = req.hash < self.share and req.route.name not in self.failing
-        if req.key is not None and self.met.get(req.key, -1) == self.build:
-            wants_trial = True
         if req.tries and self.on_trial(req.tries[-1].build):
             wants_trial = False
+        if self.release.one_way and req.key is not None and self.met.get(req.key, -1) == self.build:
+            wants_trial = True
         earlier = any(box.out_until <= now and not self.on_trial(box.build) for box in self.boxes.values())
         if earlier and not wants_trial:
             allowed = [box for box in allowed if not self.on_trial(box.build)]
         if not allowed:
             return None
         tried = {made.box.id for made in req.tries}
+
         def cost(box: Box) -> tuple[bool, bool, bool, float]:
             return (
                 box.id in tried,
                 box.out_until > now or (box.failing >= EJECT_AFTER and box.open > 0),
                 self.on_trial(box.build) is not wants_trial,
-                (box.open + 1) * box.expected(now) / (box.power * self.warmth(box, now)) * self.spread(),
+                self.wait(box, now) * (1 + SPREAD * self.random()),
             )
 
         return min(allowed, key=cost)
 
-    def spread(self) -> float:
-        return 1 + SPREAD * self.random()
+    def wait(self, box: Box, now: float) -> float:
+        return (box.open + 1) * box.expected(now) / (box.power * self.warmth(box, now))
 
     def note_health(self, box: Box, outcome: Outcome, latency: float, objective: float, now: float) -> None:
         """Failures in a row take a box out; an error counts as an answer that took the whole objective.
@@ -576,12 +559,14 @@
         """Compare both builds for each route over the same seconds and vote."""
         self.host.call_after(JUDGE_EVERY, self.judge)
         now = self.host.now()
-        for outcomes in self.seen.values():
+        for part, outcomes in list(self.seen.items()):
             while outcomes and outcomes[0][0] < now - SIGHT:
                 outcomes.popleft()
-        if self.phase not in (Phase.ON_TRIAL, Phase.RELEASED):
+            if not outcomes:
+                del self.seen[part]
+        if self.phase in TAKEN_OFF:
             return
-        cands = {route: self.seen[self.build, route] for route in self.grounds.routes}
+        cands = {route: self.seen.get((self.build, route), ()) for route in self.grounds.routes}
         bases = {route: self.earlier(route, cand[0][0]) if cand else [] for route, cand in cands.items()}
         worse = {route for route, cand in cands.items() if self.fails_more(cand, bases[route], FAIL_LEAST)}
         self.failing |= worse
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -33,13 +33,13 @@
 
     def __init__(self, **changes: Any) -> None:
         terms: dict[str, Any] = {
-            "caps": (0.2, 0.5, 1.0), "shares": (0.1, 0.5, 1.0), "beside": True, "by_route": False,
+            "caps": (0.2, 0.5, 1.0), "by_route": False,
             "closed_stages": 0, "one_way": False, "window": 3.0, "spare_tries": 2.0, "timed": False,
             "vote_life": 4.0,
         }
         grounds: dict[str, Any] = {
-            "seed": 7, "zone": "a", "drain_grace": 0.5, "cold_share": 0.3, "warm_time": 5.0,
-            "tip_multiple": 2.0, "tip_time": 1.0, "max_tries": 4, "parallel_tries": False,
+            "seed": 7, "zone": "a", "cold_share": 0.3, "warm_time": 5.0,
+            "tip_multiple": 2.0, "max_tries": 4,
             "may_subscribe": False, "max_retry_after": 0.5,
         }
         for name, value in changes.items():
