--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -64,6 +64,7 @@
 EJECT_MOST = 8.0  # s; a box that is back is found within this time
 FIRST_TIME = 0.1  # s taken for a box's time before any outcome
 SPREAD = 0.1  # of a box's cost by chance, so that umpires alike in all do not choose alike
+FAR = 1.3  # times the wait of a box in another zone: crossing has a price, idle boxes there are worth it
 FORGET = 3.0  # s in which half of what a box's old times say is forgotten, so that it is tried again
 TRY_OBJECTIVE = 1.0  # latency objectives that a try may take while another could follow
 LATE = 0.7  # of the latency objective: slower answers say that too much is out
@@ -522,7 +523,8 @@
         return min(allowed, key=cost)
 
     def wait(self, box: Box, now: float) -> float:
-        return (box.open + 1) * box.expected(now) / (box.power * self.warmth(box, now))
+        far = 1.0 if box.zone == self.grounds.zone else FAR
+        return far * (box.open + 1) * box.expected(now) / (box.power * self.warmth(box, now))
 
     def note_health(self, box: Box, outcome: Outcome, latency: float, objective: float, now: float) -> None:
         """Failures in a row take a box out; an error counts as an answer that took the whole objective.
