--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -13,8 +13,9 @@
 NAMES = ["a1", "a2", "b1", "b2"]
 
 steps = st.one_of(
-    st.tuples(st.just("take"), st.sampled_from(sorted(ROUTES)), st.sampled_from([None, "k1", "k2", "k3"])),
+    st.tuples(st.just("take"), st.sampled_from(sorted(ROUTES)), st.sampled_from([None, "b0", "b1", "b2"])),
     st.tuples(st.just("end"), st.integers(0, 9), st.sampled_from(list(Outcome))),
+    st.tuples(st.just("end"), st.integers(0, 9), st.just(Outcome.COMPLETED)),
     st.tuples(st.just("burst"), st.sampled_from(sorted(ROUTES)), st.integers(2, 8)),
     st.tuples(st.just("leave"), st.integers(0, 9)),
     st.tuples(st.just("wait"), st.sampled_from([0.01, 0.3, 0.6, 3.5])),
