--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -358,7 +358,8 @@
             width.note(late, self.in_service(made.build, now), now)
         req.settled = req.settled or final
         if outcome is Outcome.COMPLETED:
-            if self.release.one_way and req.key is not None and self.phase not in TAKEN_OFF:
+            kept = self.phase is Phase.ON_TRIAL or (self.release.one_way and self.phase is Phase.RELEASED)
+            if req.key is not None and kept:
                 self.met[req.key] = max(made.build, self.met.get(req.key, -1))
             self.answered.append(now)
             drop_before(self.answered, now - RATE_OVER)
@@ -503,8 +504,8 @@
         wants_trial = req.hash < self.share and req.route.name not in self.failing
         if req.tries and self.on_trial(req.tries[-1].build):
             wants_trial = False
-        if self.release.one_way and req.key is not None and self.met.get(req.key, -1) == self.build:
-            wants_trial = True
+        if req.key is not None and self.met.get(req.key, -1) == self.build:
+            wants_trial = self.release.one_way or req.route.name not in self.failing
         earlier = any(box.out_until <= now and not self.on_trial(box.build) for box in self.boxes.values())
         if earlier and not wants_trial:
             allowed = [box for box in allowed if not self.on_trial(box.build)]
