--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -509,8 +509,9 @@
         earlier = any(box.out_until <= now and not self.on_trial(box.build) for box in self.boxes.values())
         if earlier and not wants_trial:
             allowed = [box for box in allowed if not self.on_trial(box.build)]
-        if not allowed:
-            return None
+        full = any(self.on_trial(rev) and not room for rev, room in roomy.items())
+        if not allowed or (wants_trial and full and not req.tries):
+            return None  # the bound sheds: only the exposure ledger sends a key back to an earlier build
         tried = {made.box.id for made in req.tries}
 
         def cost(box: Box) -> tuple[bool, bool, bool, float]:
