--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -151,6 +151,15 @@
     assert not bench.sends
 
 
+def test_full_trial_sheds_its_keys_and_does_not_flip_them() -> None:
+    bench = on_trial()
+    bench.umpire.share = 0.5
+    bench.umpire.widths[2].width, bench.umpire.widths[2].open = 0.0, 1
+    reqs = [bench.take("look", f"k{number}") for number in range(40)]
+    assert {bool(req.tries) for req in reqs if req.hash < 0.5} == {False}
+    assert all(box.startswith("a") for _, box, _ in bench.sends)
+
+
 def test_silent_box_stops_taking_keys_and_is_tried_again() -> None:
     bench = Bench()
     bench.list_boxes({"a0": 1, "a1": 1})
