--- a/gullmount/benchlink/link.py
+++ b/gullmount/benchlink/link.py
@@ -130,6 +130,7 @@
         routes=routes,
         release=release,
         zone=profile["Zone"],
+        umpires=profile["Siblings"],
         cold_share=rules["ColdFrom"],
         warm_time=seconds(rules["WarmAfterUs"]),
         tip_multiple=rules["TipMultiple"],
--- a/gullmount/interface.py
+++ b/gullmount/interface.py
@@ -98,6 +98,7 @@
     routes: Mapping[str, Route]
     release: ReleaseTerms
     zone: str
+    umpires: int
     cold_share: float
     warm_time: float
     tip_multiple: float
--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -63,6 +63,8 @@
 EJECT_FOR = 1.0  # s out at first; doubles
 EJECT_MOST = 8.0  # s; a box that is back is found within this time
 FIRST_TIME = 0.1  # s taken for a box's time before any outcome
+CHOICES = 3  # boxes drawn to choose among, at least: two are much better than one, more add little
+ALL_SEEN = 8.0  # umpires up to which each ranks all boxes: then its own tries tell how busy they are
 SPREAD = 0.1  # of a box's cost by chance, so that umpires alike in all do not choose alike
 FAR = 1.3  # times the wait of a box in another zone: crossing has a price, idle boxes there are worth it
 FORGET = 3.0  # s in which half of what a box's old times say is forgotten, so that it is tried again
@@ -121,6 +123,8 @@
 
     One umpire sees few of each route early in a trial; relative to the base's median they add up.
     """
+    if sum(map(len, cands.values())) < SLOW_LEAST:
+        return 1.0
     ratios: list[float] = []
     surplus = variance = 0.0
     for part, cand in cands.items():
@@ -259,6 +263,7 @@
         self.release = grounds.release
         self.random = random.Random(grounds.seed).random
         self.boxes: dict[str, Box] = {}
+        self.pools: dict[int, list[Box]] = {}  # the ready boxes of each build
         self.born = host.now()
         self.answered: deque[float] = deque()
         self.retries = RETRY_ROOM
@@ -307,6 +312,10 @@
                 self.boxes[line.box].update(line, now)
             else:
                 self.boxes[line.box] = Box(line, self.random())
+        self.pools = {}
+        for box in self.boxes.values():
+            if box.ready:
+                self.pools.setdefault(box.build, []).append(box)
 
     def news(self, build: int, stage: int, phase: Phase, cap: float) -> None:
         """The state of the newest build. A state that is older than the one held changes nothing."""
@@ -327,6 +336,7 @@
         if phase in TAKEN_OFF:
             self.met = {key: met for key, met in self.met.items() if met != build}
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
+        self.share = min(self.share, cap)
 
     def vote_failed(self) -> None:
         """The last vote got no good answer: the next look at the evidence casts it again."""
@@ -355,7 +365,7 @@
         width.open -= 1
         if outcome in (Outcome.COMPLETED, Outcome.TIMEOUT, Outcome.FULL):
             late = outcome is not Outcome.COMPLETED or latency > LATE * req.route.objective
-            width.note(late, self.in_service(made.build, now), now)
+            width.note(late, len(self.pools.get(made.build, ())), now)
         req.settled = req.settled or final
         if outcome is Outcome.COMPLETED:
             kept = self.phase is Phase.ON_TRIAL or (self.release.one_way and self.phase is Phase.RELEASED)
@@ -459,7 +469,7 @@
         if warmth >= 1:
             return True
         rate = len(self.answered) / max(1.0, min(RATE_OVER, now - self.born))
-        usual = rate / max(1, len(self.ready(on_trial=False) + self.ready(on_trial=True)))
+        usual = rate / sum(map(len, self.pools.values()))
         earned = (now - box.credited) * usual * warmth * self.grounds.tip_multiple / 2
         box.credit = min(1.0, box.credit + earned)
         box.credited = now
@@ -467,65 +477,70 @@
 
     # The split and the rotation
 
-    def in_service(self, build: int, now: float) -> int:
-        return sum(box.ready and box.build == build and box.out_until <= now for box in self.boxes.values())
-
-    def has_room(self, build: int, now: float) -> bool:
+    def has_room(self, build: int) -> bool:
         """A build on trial has no more room a box than the others: what is loaded alike can be compared."""
         width = self.widths[build]
         most = width.width
         if self.on_trial(build):
             most = min([most] + [other.width for rev, other in self.widths.items() if not self.on_trial(rev)])
-        return width.open < max(1.0, most * self.in_service(build, now))
+        return width.open < max(1.0, most * len(self.pools[build]))
 
     def ready(self, on_trial: bool) -> list[Box]:
-        return [box for box in self.boxes.values() if box.ready and self.on_trial(box.build) is on_trial]
+        return [box for rev, pool in self.pools.items() if self.on_trial(rev) is on_trial for box in pool]
 
     def update_share(self, now: float) -> None:
         """The share moves toward 0.8 of the cap, over the ramp, as far as the listed boxes can carry it.
 
         It falls only with the cap: a key that met the new build stays there, whatever its boxes suffer.
         """
-        trial = self.ready(on_trial=True)
+        trial = self.ready(True)
         cap = self.cap if any(box.build == self.build for box in trial) else self.release.caps[0]
         aim = CAP_USE * cap
         carry = sum(self.warmth(box, now) for box in trial)
-        even = carry / max(1, carry + len(self.ready(on_trial=False)))
+        even = carry / max(1, carry + len(self.ready(False)))
         aim = min(max(even, aim) if cap >= 1 else aim, CROWD * even)
         step = (now - self.share_at) / RAMP * CAP_USE * cap
         self.share = min(max(self.share, min(aim, self.share + step)), cap)
         self.share_at = now
 
     def pick(self, req: Req, now: float) -> Box | None:
-        """The box for the req's next try: the hash picks the build, the shortest expected wait the box."""
-        self.update_share(now)
-        roomy = {build: self.has_room(build, now) for build in {box.build for box in self.boxes.values()}}
-        allowed = [box for box in self.boxes.values() if roomy[box.build] and self.allowed(req, box, now)]
+        """The box for the req's next try: the hash picks the build, the shortest expected wait the box.
+
+        An umpire knows a box by its own part of the traffic: among many umpires each ranks only a few boxes
+        drawn by chance. Guards against all of them ranking alike, which fills one zone or the boxes not yet
+        tried, and costs less. Harm: a busy umpire among many sees less than it could.
+        """
         wants_trial = req.hash < self.share and req.route.name not in self.failing
         if req.tries and self.on_trial(req.tries[-1].build):
             wants_trial = False
         if req.key is not None and self.met.get(req.key, -1) == self.build:
             wants_trial = self.release.one_way or req.route.name not in self.failing
-        earlier = any(box.out_until <= now and not self.on_trial(box.build) for box in self.boxes.values())
-        if earlier and not wants_trial:
-            allowed = [box for box in allowed if not self.on_trial(box.build)]
-        full = any(self.on_trial(rev) and not room for rev, room in roomy.items())
-        if not allowed or (wants_trial and full and not req.tries):
+        roomy = {rev for rev in self.pools if self.has_room(rev)}
+        if wants_trial and not req.tries and any(self.on_trial(rev) for rev in self.pools.keys() - roomy):
             return None  # the bound sheds: only the exposure ledger sends a key back to an earlier build
         tried = {made.box.id for made in req.tries}
 
-        def cost(box: Box) -> tuple[bool, bool, bool, float]:
-            return (
-                box.id in tried,
-                box.out_until > now or (box.failing >= EJECT_AFTER and box.open > 0),
-                self.on_trial(box.build) is not wants_trial,
-                self.wait(box, now) * (1 + SPREAD * self.random()),
-            )
-
-        return min(allowed, key=cost)
+        def usable(box: Box) -> bool:
+            out = box.out_until > now or (box.failing >= EJECT_AFTER and box.open > 0)
+            return not out and box.id not in tried
+
+        def cost(box: Box) -> tuple[bool, bool, float]:
+            return not usable(box), self.on_trial(box.build) is not wants_trial, self.wait(box, now)
+
+        pool = [box for box in self.ready(wants_trial) or self.ready(False) if box.build in roomy]
+        choices = max(CHOICES, ceil(len(pool) * ALL_SEEN / self.grounds.umpires))
+        if choices < len(pool):
+            drawn = [pool[int(self.random() * len(pool))] for _ in range(choices)]
+            good = [box for box in drawn if usable(box) and self.allowed(req, box, now)]
+            if good:
+                return min(good, key=cost)
+        earlier = any(box.out_until <= now for box in self.ready(False))
+        if wants_trial or not earlier:
+            pool = [box for rev in sorted(roomy) for box in self.pools[rev]]
+        return min((box for box in pool if self.allowed(req, box, now)), key=cost, default=None)
 
     def wait(self, box: Box, now: float) -> float:
-        far = 1.0 if box.zone == self.grounds.zone else FAR
+        far = (1.0 if box.zone == self.grounds.zone else FAR) * (1 + SPREAD * self.random())
         return far * (box.open + 1) * box.expected(now) / (box.power * self.warmth(box, now))
 
     def note_health(self, box: Box, outcome: Outcome, latency: float, objective: float, now: float) -> None:
@@ -563,12 +578,14 @@
         """Compare both builds for each route over the same seconds and vote."""
         self.host.call_after(JUDGE_EVERY, self.judge)
         now = self.host.now()
+        self.update_share(now)
         for part, outcomes in list(self.seen.items()):
             while outcomes and outcomes[0][0] < now - SIGHT:
                 outcomes.popleft()
             if not outcomes:
                 del self.seen[part]
-        if self.phase in TAKEN_OFF:
+        new = self.phase is Phase.ON_TRIAL or now - self.released_at < SHARED_AFTER
+        if self.phase in TAKEN_OFF or not (new or any(build == self.build for build, _ in self.seen)):
             return
         cands = {route: self.seen.get((self.build, route), ()) for route in self.grounds.routes}
         bases = {route: self.earlier(route, cand[0][0]) if cand else [] for route, cand in cands.items()}
@@ -578,7 +595,6 @@
         weight = self.share if self.phase is Phase.ON_TRIAL else RELEASED_WEIGHT
         self.slowed = max(0.0, self.slowed + excess * weight * JUDGE_EVERY)
         shared = self.slowed >= SHARED_LIMIT
-        new = self.phase is Phase.ON_TRIAL or now - self.released_at < SHARED_AFTER
         slow = slowness(sliced(cands), sliced(bases)) > SLOW_RATIO
         if worse or slow or (shared and new):
             self.cast(Verdict.BACK, now, f"failing {sorted(worse)}, slow {slow}, all slow {shared}")
@@ -612,6 +628,8 @@
         Guards against a few broken boxes that convict a good build. Covers any trouble of single boxes.
         Harm: a build that fails only at its oldest boxes is seen a little later.
         """
+        if sum(failure for _, _, failure, _ in cand) < least:
+            return False
         boxes: dict[str, list[int]] = defaultdict(lambda: [0, 0])
         for _, _, failure, box in cand:
             boxes[box][0] += failure
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -8,7 +8,7 @@
 from gullmount.benchlink.link import Malformed, serve
 
 PROFILE = {
-    "Azs": ["a"], "Zone": "a", "Discovery": "subscribe", "NewKey": 1,
+    "Azs": ["a"], "Zone": "a", "Siblings": 2, "Discovery": "subscribe", "NewKey": 1,
     "Ceilings": {"MaxAttempts": 4, "ParallelTries": True, "RetryAfter": False, "MaxRetryAfterUs": 0},
     "Rules": {"StopSendingWithinUs": 500000, "ColdFrom": 0.3, "WarmAfterUs": 5000000, "TipMultiple": 2.0,
               "OverloadForUs": 1000000},
