--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -75,10 +75,11 @@
 WIDTH = 4.0  # tries out a box at first, by one umpire; above need, so that a calm start is not held back
 WIDTH_UP = 0.03  # tries a box more after each answer in time, while half the width is used
 WIDTH_CUT = 0.8  # times the width after a late answer
-CUT_EVERY = 0.25  # s between cuts: about the time in which a cut shows in the answers
-WIDTH_LEAST = 0.15  # tries a box that are always allowed
+CUT_EVERY = 0.25  # s a cut stands for: about the time in which a cut shows in the answers
+CUT_MOST = 6.0  # cuts at once by an umpire that answers too seldom to cut each time
+WIDTH_LEAST = 0.6  # tries a box that all umpires together are always allowed; each at least one try
 RETRY_RATIO = 0.2  # further tries for each req taken: overload must not amplify
-RETRY_ROOM = 10.0  # further tries saved up at most
+RETRY_ROOM = 40.0  # further tries saved up at most by all umpires together; each at least one
 COME_BACK = 0.25  # s asked of a client that is shed: about the time a jam of one objective needs to move
 ASK_AGAIN = 1.0  # s before a list that refused is asked again; doubles, with jitter
 ASK_MOST = 4.0  # s
@@ -238,7 +239,8 @@
     build whose boxes are jammed alone. Harm: a route whose usual work comes near its objective is held back.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, least: float) -> None:
+        self.least = least
         self.width = WIDTH
         self.open = 0
         self.late = 0.0
@@ -248,7 +250,8 @@
         self.late += LATE_SMOOTH * (late - self.late)
         if late:
             if self.late > LATE_SHARE and now - self.cut_at >= CUT_EVERY:
-                self.width = max(WIDTH_LEAST, min(self.width, (self.open + 1) / max(1, boxes)) * WIDTH_CUT)
+                cut = WIDTH_CUT ** min(CUT_MOST, (now - self.cut_at) / CUT_EVERY)
+                self.width = max(self.least, min(self.width, (self.open + 1) / max(1, boxes)) * cut)
                 self.cut_at = now
         elif self.open + 1 >= self.width * boxes / 2:
             self.width = min(WIDTH, self.width + WIDTH_UP)
@@ -266,8 +269,9 @@
         self.pools: dict[int, list[Box]] = {}  # the ready boxes of each build
         self.born = host.now()
         self.answered: deque[float] = deque()
-        self.retries = RETRY_ROOM
-        self.widths: dict[int, Width] = defaultdict(Width)
+        self.retry_room = max(1.0, RETRY_ROOM / grounds.umpires)
+        self.retries = self.retry_room
+        self.widths: dict[int, Width] = defaultdict(lambda: Width(WIDTH_LEAST / grounds.umpires))
         self.ask_again = ASK_AGAIN
         # What the last news said of the newest build
         self.build = -1
@@ -350,7 +354,7 @@
         ledger = self.ledger(req)
         ledger.reqs.append(now)
         drop_before(ledger.reqs, now - self.release.window)
-        self.retries = min(RETRY_ROOM, self.retries + RETRY_RATIO)
+        self.retries = min(self.retry_room, self.retries + RETRY_RATIO)
         self.advance(req)
         return req
 
