--- a/gullmount/benchlink/link.py
+++ b/gullmount/benchlink/link.py
@@ -124,6 +124,9 @@
         spare_tries=specifics["SpareTries"],
         timed=specifics["GateMode"] == "timer",
         vote_life=seconds(specifics["VoteLifeUs"]),
+        to_advance=specifics["ToAdvance"],
+        back_votes=specifics["BackVotes"],
+        votes_per_s=specifics["VotesPerS"],
     )
     return Grounds(
         seed=seed,
--- a/gullmount/interface.py
+++ b/gullmount/interface.py
@@ -88,6 +88,9 @@
     spare_tries: float
     timed: bool
     vote_life: float
+    to_advance: int
+    back_votes: int
+    votes_per_s: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -13,8 +13,8 @@
 from collections import defaultdict, deque
 from collections.abc import Iterable, Mapping, Sequence
 from hashlib import blake2b
-from math import ceil, log, sqrt
-from statistics import median
+from math import ceil, e, log, sqrt
+from statistics import NormalDist, median
 
 from gullmount.interface import (
     BoxState,
@@ -40,22 +40,27 @@
 FAIL_LEAST = 3  # failures that must have been seen for that
 SPARE_BOXES = 0.25  # of the boxes, those that fail most, are left out: broken ones are fewer than that
 SLOW_RATIO = 1.5  # times the other build's median time that sends a build back
-SLOW_LEAST = 20  # outcomes that the median needs
-SLOW_Z = 3.5  # standard errors of the rank test: the median of few, looked at often, strays by half
+SLOW_LEAST = 20  # outcomes that the median needs where one vote decides; many votes add up
+SLOW_FEW = 4  # outcomes that it always needs
+FALSE_ALARM = 0.01  # chance that the votes that good builds draw by chance send one back, for some looks
+LOOKS = 4.0  # independent looks at the evidence while it changes in a trial
 SHARED_RATIO = 1.5  # times the usual time from before the trial that load alone may bring
-SHARED_SIGHT = 4.0  # s of times of all builds held against those from before the trial
 SHARED_LIMIT = 0.8  # log of the ratio beyond that, times the build's share, summed over s
 RELEASED_WEIGHT = 0.4  # the share taken after a release: the bound on tries needs s to clear a plain jam
 SHARED_AFTER = 5.0  # s after a release in which that still counts: only then does it bear all the traffic
-SLICE = 2.0  # s whose times are compared: shorter than jams, long enough for some of each build
+SLICE = 2.0  # s whose times are compared, at least: shorter than jams, long enough for some of each build
+SLICE_NEEDS = 4.0  # answers a route in a slice, on average
 BASE_LEAST = 3  # times of the earlier build that make a slice count
 CLEAN_LEAST = 3  # outcomes without a failure that allow a vote to move on
 SETTLE = 3.0  # s after the newest start before a vote to move on
+CONSENT = 2.0  # s more after which an umpire that saw too little votes on where many must
 YOUNG = 5.0  # s after a start in which a box's times say nothing
 SIGHT = 20.0  # s of outcomes compared; long enough for small umpires, short enough to see a late onset
 JUDGE_EVERY = 0.25  # s between looks at the evidence
-RENEW = 5.0  # s between renewals of a vote, where it lives that long
-RENEW_LIFE = 0.5  # of a vote's life, so that one lost renewal does not let it lapse
+RENEW = 0.5  # of a vote's life between renewals, so that one lost renewal does not let it lapse
+RENEW_LATE = 0.9  # of its life at most, where all umpires' renewals would ask for too many votes
+RECAST = 0.5  # s at most before a vote that got no good answer is cast again
+VOTES_USED = 0.8  # of the votes a second that are told
 
 # Health and waiting
 SMOOTH = 0.2  # weight of the newest outcome in a box's running time
@@ -109,22 +114,22 @@
     return wins - pairs / 2, pairs * (len(high) + len(low) + 1) / 12
 
 
-def sliced(outcomes: Mapping[str, Iterable[Seen]]) -> Times:
+def sliced(outcomes: Mapping[str, Iterable[Seen]], span: float) -> Times:
     """Times by route and slice of time, so that only the same seconds are compared."""
     times: Times = defaultdict(list)
     for route, seen in outcomes.items():
         for at, time, _, _ in seen:
             if time >= 0:
-                times[route, int(at / SLICE)].append(time)
+                times[route, int(at / span)].append(time)
     return times
 
 
-def slowness(cands: Times, bases: Times) -> float:
+def slowness(cands: Times, bases: Times, least: int, least_z: float) -> float:
     """How many times slower `cands` are than `bases`, all routes and slices weighed together; 1 in doubt.
 
     One umpire sees few of each route early in a trial; relative to the base's median they add up.
     """
-    if sum(map(len, cands.values())) < SLOW_LEAST:
+    if sum(map(len, cands.values())) < least:
         return 1.0
     ratios: list[float] = []
     surplus = variance = 0.0
@@ -136,7 +141,7 @@
             wins, spread = rank_surplus(cand, base)
             surplus += wins
             variance += spread
-    sure = len(ratios) >= SLOW_LEAST and surplus > SLOW_Z * sqrt(variance)
+    sure = len(ratios) >= least and surplus > least_z * sqrt(variance)
     return median(ratios) if sure else 1.0
 
 
@@ -290,10 +295,15 @@
         self.slowed = 0.0
         self.released_at = 0.0
         self.verdict = Verdict.NONE
-        self.voted_at = 0.0
+        self.vote_again = 0.0
+        votes, many = max(1, self.release.back_votes), grounds.umpires
+        alarm = FALSE_ALARM ** (1 / votes) * votes / (e * many * LOOKS)
+        self.least_z = NormalDist().inv_cdf(1 - alarm)
+        self.slow_least = max(SLOW_FEW, ceil(SLOW_LEAST / votes))
+        self.fail_least = max(1, ceil(FAIL_LEAST / votes))
         if grounds.may_subscribe:
             host.subscribe()
-        host.call_after(JUDGE_EVERY, self.judge)
+        host.call_after(JUDGE_EVERY * self.random(), self.judge)
 
     # News
 
@@ -334,7 +344,7 @@
             self.failing = set()
             self.calm = {}
             self.slowed = 0.0
-        if sum(map(len, self.calm.values())) < SLOW_LEAST:
+        if sum(map(len, self.calm.values())) < self.slow_least:
             # An umpire started during the trial has no times from before: its first ones must do.
             self.calm = self.recent(0.0)
         if phase in TAKEN_OFF:
@@ -343,8 +353,8 @@
         self.share = min(self.share, cap)
 
     def vote_failed(self) -> None:
-        """The last vote got no good answer: the next look at the evidence casts it again."""
-        self.verdict = Verdict.NONE
+        """The last vote got no good answer: a later look casts it again, not all umpires in step."""
+        self.vote_again = self.host.now() + self.random() * RECAST
 
     # Reqs
 
@@ -593,13 +603,18 @@
             return
         cands = {route: self.seen.get((self.build, route), ()) for route in self.grounds.routes}
         bases = {route: self.earlier(route, cand[0][0]) if cand else [] for route, cand in cands.items()}
-        worse = {route for route, cand in cands.items() if self.fails_more(cand, bases[route], FAIL_LEAST)}
+        least = self.fail_least
+        worse = {route for route, cand in cands.items() if self.fails_more(cand, bases[route], least)}
         self.failing |= worse
-        excess = log(slowness(self.recent(now - SHARED_SIGHT), self.calm) / SHARED_RATIO)
+        rate = sum(map(len, self.seen.values())) / SIGHT
+        span = min(SIGHT, max(SLICE, SLICE_NEEDS * len(cands) / rate)) if rate else SIGHT
+        recent = self.recent(now - 2 * span)
+        excess = log(slowness(recent, self.calm, self.slow_least, self.least_z) / SHARED_RATIO)
         weight = self.share if self.phase is Phase.ON_TRIAL else RELEASED_WEIGHT
         self.slowed = max(0.0, self.slowed + excess * weight * JUDGE_EVERY)
         shared = self.slowed >= SHARED_LIMIT
-        slow = slowness(sliced(cands), sliced(bases)) > SLOW_RATIO
+        parts = sliced(cands, span), sliced(bases, span)
+        slow = slowness(*parts, self.slow_least, self.least_z) > SLOW_RATIO
         if worse or slow or (shared and new):
             self.cast(Verdict.BACK, now, f"failing {sorted(worse)}, slow {slow}, all slow {shared}")
         elif self.phase is Phase.ON_TRIAL and not self.release.timed:
@@ -607,7 +622,9 @@
             settled = bool(newest) and min(newest) >= SETTLE
             failures = sum(failed for cand in cands.values() for _, _, failed, _ in cand)
             clean = sum(len(cand) for cand in cands.values()) - failures
-            enough = clean >= SLOW_LEAST or (clean >= CLEAN_LEAST and not failures)
+            many = self.release.to_advance > 1
+            consents = many and settled and not failures and min(newest) >= SETTLE + CONSENT
+            enough = consents or clean >= SLOW_LEAST or (clean >= CLEAN_LEAST and not failures)
             doubt = any(self.fails_more(cand, bases[route], 1) for route, cand in cands.items())
             if settled and enough and not doubt and not self.slowed:
                 self.cast(Verdict.ON, now, f"clean {clean}, failed {failures}")
@@ -638,16 +655,17 @@
         for _, _, failure, box in cand:
             boxes[box][0] += failure
             boxes[box][1] += 1
-        spared = ceil(len(boxes) * SPARE_BOXES) if len(boxes) > 1 else 0
+        spared = (ceil if self.fail_least > 1 else int)(len(boxes) * SPARE_BOXES) if len(boxes) > 1 else 0
         counts = sorted(boxes.values(), key=lambda count: -count[0])[spared:]
         failed = sum(failures for failures, _ in counts)
         base_share = sum(failure for _, _, failure, _ in base) / len(base) if base else 0.0
         return failed >= least and failed / sum(total for _, total in counts) > base_share + FAIL_MARGIN
 
     def cast(self, verdict: Verdict, now: float, why: str) -> None:
-        renew = min(RENEW, RENEW_LIFE * self.release.vote_life)
-        if verdict is not self.verdict or now - self.voted_at >= renew:
+        life, asked = self.release.vote_life, self.grounds.umpires / self.release.votes_per_s / VOTES_USED
+        renew = life * RENEW if verdict is Verdict.BACK else max(life * RENEW, min(life * RENEW_LATE, asked))
+        if verdict is not self.verdict or now >= self.vote_again:
             self.host.log(f"build {self.build} stage {self.stage}: votes {verdict.value}: {why}")
             self.verdict = verdict
-            self.voted_at = now
+            self.vote_again = now + renew
             self.host.vote(self.build, self.stage, verdict)
