--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -41,7 +41,7 @@
 SPARE_BOXES = 0.25  # of the boxes, those that fail most, are left out: broken ones are fewer than that
 SLOW_RATIO = 1.5  # times the other build's median time that sends a build back
 SLOW_LEAST = 20  # outcomes that the median needs where one vote decides; many votes add up
-SLOW_FEW = 4  # outcomes that it always needs
+SLOW_FEW = 2  # outcomes that it always needs
 FALSE_ALARM = 0.01  # chance that the votes that good builds draw by chance send one back, for some looks
 LOOKS = 4.0  # independent looks at the evidence while it changes in a trial
 SHARED_RATIO = 1.5  # times the usual time from before the trial that load alone may bring
@@ -54,7 +54,6 @@
 CLEAN_LEAST = 3  # outcomes without a failure that allow a vote to move on
 SETTLE = 3.0  # s after the newest start before a vote to move on
 CONSENT = 2.0  # s more after which an umpire that saw too little votes on where many must
-YOUNG = 5.0  # s after a start in which a box's times say nothing
 SIGHT = 20.0  # s of outcomes compared; long enough for small umpires, short enough to see a late onset
 JUDGE_EVERY = 0.25  # s between looks at the evidence
 RENEW = 0.5  # of a vote's life between renewals, so that one lost renewal does not let it lapse
@@ -114,6 +113,14 @@
     return wins - pairs / 2, pairs * (len(high) + len(low) + 1) / 12
 
 
+def merged(times: Times) -> Times:
+    """The routes of each slice taken together, for umpires that see too little of each."""
+    whole: Times = defaultdict(list)
+    for (_, part), of_route in times.items():
+        whole["", part] += of_route
+    return whole
+
+
 def sliced(outcomes: Mapping[str, Iterable[Seen]], span: float) -> Times:
     """Times by route and slice of time, so that only the same seconds are compared."""
     times: Times = defaultdict(list)
@@ -124,27 +131,6 @@
     return times
 
 
-def slowness(cands: Times, bases: Times, least: int, least_z: float) -> float:
-    """How many times slower `cands` are than `bases`, all routes and slices weighed together; 1 in doubt.
-
-    One umpire sees few of each route early in a trial; relative to the base's median they add up.
-    """
-    if sum(map(len, cands.values())) < least:
-        return 1.0
-    ratios: list[float] = []
-    surplus = variance = 0.0
-    for part, cand in cands.items():
-        base = bases.get(part, ())
-        if len(base) >= BASE_LEAST:
-            usual = median(base)
-            ratios += [time / usual for time in cand]
-            wins, spread = rank_surplus(cand, base)
-            surplus += wins
-            variance += spread
-    sure = len(ratios) >= least and surplus > least_z * sqrt(variance)
-    return median(ratios) if sure else 1.0
-
-
 class Try:
     """Lives as long as one upstream try."""
 
@@ -293,6 +279,7 @@
         self.seen: dict[tuple[int, str], deque[Seen]] = defaultdict(deque)
         self.calm: Times = {}
         self.slowed = 0.0
+        self.sparse = False
         self.released_at = 0.0
         self.verdict = Verdict.NONE
         self.vote_again = 0.0
@@ -584,8 +571,9 @@
 
     def note_evidence(self, req: Req, made: Try, outcome: Outcome, latency: float, now: float) -> None:
         if outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.TIMEOUT):
-            young = made.box.age(made.sent) < YOUNG
-            time = -1.0 if young or outcome is Outcome.ERROR else latency
+            # A cold box is slow: its time is held for what it would be at the least warmth it can have had.
+            time = latency * self.warmth(made.box, made.sent) / req.route.objective
+            time = -1.0 if outcome is Outcome.ERROR else time
             self.seen[made.build, req.route.name].append((now, time, outcome is Outcome.ERROR, made.box.id))
 
     def judge(self) -> None:
@@ -601,20 +589,20 @@
         new = self.phase is Phase.ON_TRIAL or now - self.released_at < SHARED_AFTER
         if self.phase in TAKEN_OFF or not (new or any(build == self.build for build, _ in self.seen)):
             return
+        rate = (sum(map(len, self.seen.values())) + 1) / SIGHT
+        self.sparse = SLICE_NEEDS * len(self.grounds.routes) > rate * SIGHT / 2
+        span = max(SLICE, SLICE_NEEDS * (1 if self.sparse else len(self.grounds.routes)) / rate)
         cands = {route: self.seen.get((self.build, route), ()) for route in self.grounds.routes}
-        bases = {route: self.earlier(route, cand[0][0]) if cand else [] for route, cand in cands.items()}
+        since = min((cand[0][0] for cand in cands.values() if cand), default=now) - span
+        bases = {route: self.earlier(route, since) for route in cands}
         least = self.fail_least
         worse = {route for route, cand in cands.items() if self.fails_more(cand, bases[route], least)}
         self.failing |= worse
-        rate = sum(map(len, self.seen.values())) / SIGHT
-        span = min(SIGHT, max(SLICE, SLICE_NEEDS * len(cands) / rate)) if rate else SIGHT
-        recent = self.recent(now - 2 * span)
-        excess = log(slowness(recent, self.calm, self.slow_least, self.least_z) / SHARED_RATIO)
+        excess = log(self.slowness(self.recent(now - 2 * span), self.calm) / SHARED_RATIO)
         weight = self.share if self.phase is Phase.ON_TRIAL else RELEASED_WEIGHT
         self.slowed = max(0.0, self.slowed + excess * weight * JUDGE_EVERY)
         shared = self.slowed >= SHARED_LIMIT
-        parts = sliced(cands, span), sliced(bases, span)
-        slow = slowness(*parts, self.slow_least, self.least_z) > SLOW_RATIO
+        slow = self.slowness(sliced(cands, span), sliced(bases, span)) > SLOW_RATIO
         if worse or slow or (shared and new):
             self.cast(Verdict.BACK, now, f"failing {sorted(worse)}, slow {slow}, all slow {shared}")
         elif self.phase is Phase.ON_TRIAL and not self.release.timed:
@@ -629,6 +617,28 @@
             if settled and enough and not doubt and not self.slowed:
                 self.cast(Verdict.ON, now, f"clean {clean}, failed {failures}")
 
+    def slowness(self, cands: Times, bases: Times) -> float:
+        """How many times slower `cands` are than `bases`, all routes and slices weighed together; 1 in doubt.
+
+        One umpire sees few of each route early in a trial; relative to the base's median they add up.
+        """
+        if self.sparse:
+            cands, bases = merged(cands), merged(bases)
+        if sum(map(len, cands.values())) < self.slow_least:
+            return 1.0
+        ratios: list[float] = []
+        surplus = variance = 0.0
+        for part, cand in cands.items():
+            base = bases.get(part, ())
+            if len(base) >= BASE_LEAST:
+                usual = median(base)
+                ratios += [time / usual for time in cand]
+                wins, spread = rank_surplus(cand, base)
+                surplus += wins
+                variance += spread
+        sure = len(ratios) >= self.slow_least and surplus > self.least_z * sqrt(variance)
+        return median(ratios) if sure else 1.0
+
     def earlier(self, route: str, since: float) -> list[Seen]:
         """Outcomes of the earlier builds on the route since then: the same seconds as the newest's."""
         return [
