--- a/gullmount/benchlink/link.py
+++ b/gullmount/benchlink/link.py
@@ -134,6 +134,7 @@
         release=release,
         zone=profile["Zone"],
         umpires=profile["Siblings"],
+        link_idle=seconds(ceilings["ConnIdleUs"]),
         cold_share=rules["ColdFrom"],
         warm_time=seconds(rules["WarmAfterUs"]),
         tip_multiple=rules["TipMultiple"],
--- a/gullmount/interface.py
+++ b/gullmount/interface.py
@@ -102,6 +102,7 @@
     release: ReleaseTerms
     zone: str
     umpires: int
+    link_idle: float
     cold_share: float
     warm_time: float
     tip_multiple: float
--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -69,6 +69,9 @@
 FIRST_TIME = 0.1  # s taken for a box's time before any outcome
 CHOICES = 3  # boxes drawn to choose among, at least: two are much better than one, more add little
 ALL_SEEN = 8.0  # umpires up to which each ranks all boxes: then its own tries tell how busy they are
+UNLINKED = 1.3  # times the wait of a box without an open connection: a handshake costs time and work
+LINK_SMOOTH = 0.2  # weight of the newest try without a connection in the share of those that get none
+LINK_FAILS = 0.15  # share from which on only boxes with an open connection are drawn: two new failures
 SPREAD = 0.1  # of a box's cost by chance, so that umpires alike in all do not choose alike
 FAR = 1.3  # times the wait of a box in another zone: crossing has a price, idle boxes there are worth it
 FORGET = 3.0  # s in which half of what a box's old times say is forgotten, so that it is tried again
@@ -139,6 +142,7 @@
         self.build = box.build
         self.group = (box.zone, box.cell)
         self.sent = sent
+        self.linked = box.linked_until > sent
 
 
 class Box:
@@ -157,6 +161,7 @@
             self.failing = 0
             self.out_until = 0.0
             self.out_for = EJECT_FOR
+            self.linked_until = 0.0
             self.told = now
             self.credit = self.order
             self.credited = now
@@ -260,6 +265,7 @@
         self.pools: dict[int, list[Box]] = {}  # the ready boxes of each build
         self.born = host.now()
         self.answered: deque[float] = deque()
+        self.link_fails = 0.0
         self.retry_room = max(1.0, RETRY_ROOM / grounds.umpires)
         self.retries = self.retry_room
         self.widths: dict[int, Width] = defaultdict(lambda: Width(WIDTH_LEAST / grounds.umpires))
@@ -360,6 +366,10 @@
         made = req.tries[number]
         req.open_tries.discard(number)
         made.box.open -= 1
+        if outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL):
+            made.box.linked_until = now + self.grounds.link_idle
+        weight = LINK_SMOOTH * (0.1 if made.linked else 1.0)
+        self.link_fails += weight * ((outcome is Outcome.CONNECT_FAILED) - self.link_fails)
         self.note_health(made.box, outcome, latency, req.route.objective, now)
         self.note_evidence(req, made, outcome, latency, now)
         width = self.widths[made.build]
@@ -530,7 +540,10 @@
 
         pool = [box for box in self.ready(wants_trial) or self.ready(False) if box.build in roomy]
         choices = max(CHOICES, ceil(len(pool) * ALL_SEEN / self.grounds.umpires))
-        if choices < len(pool):
+        linked = [box for box in pool if box.linked_until > now]
+        if linked and self.link_fails > LINK_FAILS:
+            pool = linked
+        if choices < len(pool) or pool is linked:
             drawn = [pool[int(self.random() * len(pool))] for _ in range(choices)]
             good = [box for box in drawn if usable(box) and self.allowed(req, box, now)]
             if good:
@@ -542,6 +555,7 @@
 
     def wait(self, box: Box, now: float) -> float:
         far = (1.0 if box.zone == self.grounds.zone else FAR) * (1 + SPREAD * self.random())
+        far *= 1.0 if box.linked_until > now else UNLINKED
         return far * (box.open + 1) * box.expected(now) / (box.power * self.warmth(box, now))
 
     def note_health(self, box: Box, outcome: Outcome, latency: float, objective: float, now: float) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -38,7 +38,7 @@
             "vote_life": 4.0, "to_advance": 1, "back_votes": 1, "votes_per_s": 100.0,
         }
         grounds: dict[str, Any] = {
-            "seed": 7, "zone": "a", "umpires": 2, "cold_share": 0.3, "warm_time": 5.0,
+            "seed": 7, "zone": "a", "umpires": 2, "link_idle": 15.0, "cold_share": 0.3, "warm_time": 5.0,
             "tip_multiple": 2.0, "max_tries": 4,
             "may_subscribe": False, "max_retry_after": 0.5,
         }
