--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -13,7 +13,7 @@
 from collections import defaultdict, deque
 from collections.abc import Iterable, Mapping, Sequence
 from hashlib import blake2b
-from math import ceil, e, log, sqrt
+from math import ceil, e, inf, log, sqrt
 from statistics import NormalDist, median
 
 from gullmount.interface import (
@@ -66,7 +66,10 @@
 EJECT_AFTER = 2  # failures to answer in a row that take a box out
 EJECT_FOR = 1.0  # s out at first; doubles
 EJECT_MOST = 8.0  # s; a box that is back is found within this time
-FIRST_TIME = 0.1  # s taken for a box's time before any outcome
+FIRST_TIME = 0.15  # of the objective, taken for an answer's time before any outcome
+USUAL_SMOOTH = 0.05  # weight of the newest outcome in the time that is usual: about the last twenty
+ZONE_SLOW = 2.0  # times the quickest zone's time from which a zone's boxes are left out
+ZONE_FORGET = 10.0  # s in which half of what a zone's old times say is forgotten: a try there is a risk
 CHOICES = 3  # boxes drawn to choose among, at least: two are much better than one, more add little
 ALL_SEEN = 8.0  # umpires up to which each ranks all boxes: then its own tries tell how busy they are
 UNLINKED = 1.3  # times the wait of a box without an open connection: a handshake costs time and work
@@ -134,6 +137,27 @@
     return times
 
 
+class Pace:
+    """Time that tries take, in objectives, drawn back to what is usual while nothing is heard.
+
+    Guards against shunning for ever what was slow or silent once. Harm: what stays slow gets a try now and
+    then.
+    """
+
+    def __init__(self, forget: float) -> None:
+        self.forget = forget
+        self.time = 0.0
+        self.told = -inf
+
+    def expected(self, usual: float, now: float) -> float:
+        return usual + (self.time - usual) * 0.5 ** ((now - self.told) / self.forget)
+
+    def note(self, time: float, usual: float, now: float) -> None:
+        self.time = self.expected(usual, now)
+        self.time += SMOOTH * (time - self.time)
+        self.told = now
+
+
 class Try:
     """Lives as long as one upstream try."""
 
@@ -157,12 +181,11 @@
 
     def update(self, line: Listed, now: float) -> None:
         if line.build != getattr(self, "build", None) or line.started != self.started:
-            self.time = FIRST_TIME
+            self.pace = Pace(FORGET)
             self.failing = 0
             self.out_until = 0.0
             self.out_for = EJECT_FOR
             self.linked_until = 0.0
-            self.told = now
             self.credit = self.order
             self.credited = now
         self.zone = line.zone
@@ -172,14 +195,6 @@
         self.power = line.power or 1.0
         self.started = line.started
 
-    def expected(self, now: float) -> float:
-        """Its running time, drawn back to the first guess while nothing is heard of it.
-
-        Guards against shunning for ever a box that was slow or silent once. Harm: a box that stays slow
-        gets a try now and then.
-        """
-        return FIRST_TIME + (self.time - FIRST_TIME) * 0.5 ** ((now - self.told) / FORGET)
-
     def age(self, now: float) -> float:
         return now - self.started if self.started > 0 else now
 
@@ -266,6 +281,8 @@
         self.born = host.now()
         self.answered: deque[float] = deque()
         self.link_fails = 0.0
+        self.usual = FIRST_TIME
+        self.zones: dict[str, Pace] = defaultdict(lambda: Pace(ZONE_FORGET))
         self.retry_room = max(1.0, RETRY_ROOM / grounds.umpires)
         self.retries = self.retry_room
         self.widths: dict[int, Width] = defaultdict(lambda: Width(WIDTH_LEAST / grounds.umpires))
@@ -540,10 +557,13 @@
 
         pool = [box for box in self.ready(wants_trial) or self.ready(False) if box.build in roomy]
         choices = max(CHOICES, ceil(len(pool) * ALL_SEEN / self.grounds.umpires))
+        paces = {zone: pace.expected(self.usual, now) for zone, pace in self.zones.items()}
+        slow = {zone for zone, pace in paces.items() if pace > ZONE_SLOW * min(paces.values())}
+        pool = [box for box in pool if box.zone not in slow] or pool
         linked = [box for box in pool if box.linked_until > now]
         if linked and self.link_fails > LINK_FAILS:
             pool = linked
-        if choices < len(pool) or pool is linked:
+        if pool and (choices < len(pool) or pool is linked or slow):
             drawn = [pool[int(self.random() * len(pool))] for _ in range(choices)]
             good = [box for box in drawn if usable(box) and self.allowed(req, box, now)]
             if good:
@@ -556,7 +576,8 @@
     def wait(self, box: Box, now: float) -> float:
         far = (1.0 if box.zone == self.grounds.zone else FAR) * (1 + SPREAD * self.random())
         far *= 1.0 if box.linked_until > now else UNLINKED
-        return far * (box.open + 1) * box.expected(now) / (box.power * self.warmth(box, now))
+        pace = box.pace.expected(self.zones[box.zone].expected(self.usual, now), now)
+        return far * (box.open + 1) * pace / (box.power * self.warmth(box, now))
 
     def note_health(self, box: Box, outcome: Outcome, latency: float, objective: float, now: float) -> None:
         """Failures in a row take a box out; an error counts as an answer that took the whole objective.
@@ -574,12 +595,15 @@
             box.failing = 0
             box.out_until = 0.0
             box.out_for = EJECT_FOR
-        if outcome is Outcome.ERROR:
-            latency = max(latency, objective)
+        silent = outcome in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT, Outcome.RESET)
+        time = latency / objective
+        if silent or outcome is Outcome.ERROR:
+            time = max(1.0, time)
+        if silent or outcome is Outcome.COMPLETED:
+            self.usual += USUAL_SMOOTH * (time - self.usual)
+            self.zones[box.zone].note(time, self.usual, now)
         if outcome in (Outcome.COMPLETED, Outcome.TIMEOUT, Outcome.ERROR):
-            box.time = box.expected(now)
-            box.time += SMOOTH * (latency - box.time)
-            box.told = now
+            box.pace.note(time, self.zones[box.zone].expected(self.usual, now), now)
 
     # The judge
 
