--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -87,7 +87,8 @@
 WIDTH_CUT = 0.8  # times the width after a late answer
 CUT_EVERY = 0.25  # s a cut stands for: about the time in which a cut shows in the answers
 CUT_MOST = 6.0  # cuts at once by an umpire that answers too seldom to cut each time
-WIDTH_LEAST = 0.6  # tries a box that all umpires together are always allowed; each at least one try
+WIDTH_LEAST = 0.15  # tries a box that are always allowed, where umpires are few
+WIDTH_LEAST_ALL = 1.2  # tries a box that all umpires together are always allowed; each at least one try
 RETRY_RATIO = 0.2  # further tries for each req taken: overload must not amplify
 RETRY_ROOM = 40.0  # further tries saved up at most by all umpires together; each at least one
 COME_BACK = 0.25  # s asked of a client that is shed: about the time a jam of one objective needs to move
@@ -256,16 +257,18 @@
         self.open = 0
         self.late = 0.0
         self.cut_at = 0.0
+        self.noted_at = 0.0
 
     def note(self, late: bool, boxes: int, now: float) -> None:
         self.late += LATE_SMOOTH * (late - self.late)
         if late:
             if self.late > LATE_SHARE and now - self.cut_at >= CUT_EVERY:
-                cut = WIDTH_CUT ** min(CUT_MOST, (now - self.cut_at) / CUT_EVERY)
+                cut = WIDTH_CUT ** min(CUT_MOST, max(1.0, (now - self.noted_at) / CUT_EVERY))
                 self.width = max(self.least, min(self.width, (self.open + 1) / max(1, boxes)) * cut)
                 self.cut_at = now
         elif self.open + 1 >= self.width * boxes / 2:
             self.width = min(WIDTH, self.width + WIDTH_UP)
+        self.noted_at = now
 
 
 class Umpire:
@@ -285,7 +288,8 @@
         self.zones: dict[str, Pace] = defaultdict(lambda: Pace(ZONE_FORGET))
         self.retry_room = max(1.0, RETRY_ROOM / grounds.umpires)
         self.retries = self.retry_room
-        self.widths: dict[int, Width] = defaultdict(lambda: Width(WIDTH_LEAST / grounds.umpires))
+        least = min(WIDTH_LEAST, WIDTH_LEAST_ALL / grounds.umpires)
+        self.widths: dict[int, Width] = defaultdict(lambda: Width(least))
         self.ask_again = ASK_AGAIN
         # What the last news said of the newest build
         self.build = -1
