--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -15,6 +15,7 @@
 from hashlib import blake2b
 from math import ceil, e, inf, log, sqrt
 from statistics import NormalDist, median
+from typing import NamedTuple
 
 from gullmount.interface import (
     BoxState,
@@ -98,10 +99,19 @@
 
 TAKEN_OFF = (Phase.GOING_BACK, Phase.WITHDRAWN)
 PROVES_UNRUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
-Seen = tuple[float, float, bool, str]  # when a try ended, its time (below 0: says nothing), failure, box
 Times = dict[tuple[str, int], list[float]]  # by route and slice
 
 
+class Seen(NamedTuple):
+    """What the judge keeps of a try that ended."""
+
+    at: float
+    time: float  # in objectives; below 0 it says nothing
+    failed: bool
+    box: str
+    warm: bool
+
+
 def place(key: str) -> float:
     """The key's stable number from 0 to 1, the same at every umpire and after every restart."""
     return int.from_bytes(blake2b(key.encode(), digest_size=8).digest()) / 2**64
@@ -132,9 +142,9 @@
     """Times by route and slice of time, so that only the same seconds are compared."""
     times: Times = defaultdict(list)
     for route, seen in outcomes.items():
-        for at, time, _, _ in seen:
-            if time >= 0:
-                times[route, int(at / span)].append(time)
+        for one in seen:
+            if one.time >= 0:
+                times[route, int(one.at / span)].append(one.time)
     return times
 
 
@@ -616,7 +626,9 @@
             # A cold box is slow: its time is held for what it would be at the least warmth it can have had.
             time = latency * self.warmth(made.box, made.sent) / req.route.objective
             time = -1.0 if outcome is Outcome.ERROR else time
-            self.seen[made.build, req.route.name].append((now, time, outcome is Outcome.ERROR, made.box.id))
+            warm = self.warmth(made.box, made.sent) >= 1
+            seen = Seen(now, time, outcome is Outcome.ERROR, made.box.id, warm)
+            self.seen[made.build, req.route.name].append(seen)
 
     def judge(self) -> None:
         """Compare both builds for each route over the same seconds and vote."""
@@ -624,7 +636,7 @@
         now = self.host.now()
         self.update_share(now)
         for part, outcomes in list(self.seen.items()):
-            while outcomes and outcomes[0][0] < now - SIGHT:
+            while outcomes and outcomes[0].at < now - SIGHT:
                 outcomes.popleft()
             if not outcomes:
                 del self.seen[part]
@@ -635,12 +647,13 @@
         self.sparse = SLICE_NEEDS * len(self.grounds.routes) > rate * SIGHT / 2
         span = max(SLICE, SLICE_NEEDS * (1 if self.sparse else len(self.grounds.routes)) / rate)
         cands = {route: self.seen.get((self.build, route), ()) for route in self.grounds.routes}
-        since = min((cand[0][0] for cand in cands.values() if cand), default=now) - span
+        since = min((cand[0].at for cand in cands.values() if cand), default=now) - span
         bases = {route: self.earlier(route, since) for route in cands}
         least = self.fail_least
         worse = {route for route, cand in cands.items() if self.fails_more(cand, bases[route], least)}
         self.failing |= worse
-        excess = log(self.slowness(self.recent(now - 2 * span), self.calm) / SHARED_RATIO)
+        sight = span if self.release.back_votes > 1 else SLICE
+        excess = log(self.slowness(self.recent(now - 2 * sight), self.calm) / SHARED_RATIO)
         weight = self.share if self.phase is Phase.ON_TRIAL else RELEASED_WEIGHT
         self.slowed = max(0.0, self.slowed + excess * weight * JUDGE_EVERY)
         shared = self.slowed >= SHARED_LIMIT
@@ -650,7 +663,7 @@
         elif self.phase is Phase.ON_TRIAL and not self.release.timed:
             newest = [box.age(now) for box in self.boxes.values() if box.build == self.build and box.ready]
             settled = bool(newest) and min(newest) >= SETTLE
-            failures = sum(failed for cand in cands.values() for _, _, failed, _ in cand)
+            failures = sum(seen.failed for cand in cands.values() for seen in cand)
             clean = sum(len(cand) for cand in cands.values()) - failures
             many = self.release.to_advance > 1
             consents = many and settled and not failures and min(newest) >= SETTLE + CONSENT
@@ -685,14 +698,15 @@
         """Outcomes of the earlier builds on the route since then: the same seconds as the newest's."""
         return [
             seen for (build, name), outcomes in self.seen.items() if build < self.build and name == route
-            for seen in outcomes if seen[0] >= since
+            for seen in outcomes if seen.at >= since
         ]
 
     def recent(self, since: float) -> Times:
-        """Times on each route since then, whatever the build."""
+        """Times on each route since then, whatever the build, but of warm boxes only."""
         times: Times = defaultdict(list)
         for (_, route), outcomes in self.seen.items():
-            times[route, 0] += [time for at, time, _, _ in outcomes if at >= since and time >= 0]
+            lately = (one for one in outcomes if one.warm and one.at >= since)
+            times[route, 0] += [one.time for one in lately if one.time >= 0]
         return times
 
     def fails_more(self, cand: Sequence[Seen], base: Sequence[Seen], least: int) -> bool:
@@ -701,16 +715,16 @@
         Guards against a few broken boxes that convict a good build. Covers any trouble of single boxes.
         Harm: a build that fails only at its oldest boxes is seen a little later.
         """
-        if sum(failure for _, _, failure, _ in cand) < least:
+        if sum(seen.failed for seen in cand) < least:
             return False
         boxes: dict[str, list[int]] = defaultdict(lambda: [0, 0])
-        for _, _, failure, box in cand:
-            boxes[box][0] += failure
-            boxes[box][1] += 1
+        for seen in cand:
+            boxes[seen.box][0] += seen.failed
+            boxes[seen.box][1] += 1
         spared = (ceil if self.fail_least > 1 else int)(len(boxes) * SPARE_BOXES) if len(boxes) > 1 else 0
         counts = sorted(boxes.values(), key=lambda count: -count[0])[spared:]
         failed = sum(failures for failures, _ in counts)
-        base_share = sum(failure for _, _, failure, _ in base) / len(base) if base else 0.0
+        base_share = sum(seen.failed for seen in base) / len(base) if base else 0.0
         return failed >= least and failed / sum(total for _, total in counts) > base_share + FAIL_MARGIN
 
     def cast(self, verdict: Verdict, now: float, why: str) -> None:
