--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -317,6 +317,7 @@
         self.calm: Times = {}
         self.slowed = 0.0
         self.sparse = False
+        self.warm_part = 1.0  # of the capacity of all ready boxes
         self.released_at = 0.0
         self.verdict = Verdict.NONE
         self.vote_again = 0.0
@@ -539,6 +540,7 @@
         cap = self.cap if any(box.build == self.build for box in trial) else self.release.caps[0]
         aim = CAP_USE * cap
         carry = sum(self.warmth(box, now) for box in trial)
+        self.warm_part = 1 - (len(trial) - carry) / max(1, sum(map(len, self.pools.values())))
         even = carry / max(1, carry + len(self.ready(False)))
         aim = min(max(even, aim) if cap >= 1 else aim, CROWD * even)
         step = (now - self.share_at) / RAMP * CAP_USE * cap
@@ -653,7 +655,8 @@
         worse = {route for route, cand in cands.items() if self.fails_more(cand, bases[route], least)}
         self.failing |= worse
         sight = span if self.release.back_votes > 1 else SLICE
-        excess = log(self.slowness(self.recent(now - 2 * sight), self.calm) / SHARED_RATIO)
+        # Cold boxes take capacity away: as much slowness is not the build's.
+        excess = log(self.slowness(self.recent(now - 2 * sight), self.calm) * self.warm_part / SHARED_RATIO)
         weight = self.share if self.phase is Phase.ON_TRIAL else RELEASED_WEIGHT
         self.slowed = max(0.0, self.slowed + excess * weight * JUDGE_EVERY)
         shared = self.slowed >= SHARED_LIMIT
