--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -324,6 +324,7 @@
         votes, many = max(1, self.release.back_votes), grounds.umpires
         alarm = FALSE_ALARM ** (1 / votes) * votes / (e * many * LOOKS)
         self.least_z = NormalDist().inv_cdf(1 - alarm)
+        self.slowed_limit = SHARED_LIMIT * max(1.0, log(many / votes))
         self.slow_least = max(SLOW_FEW, ceil(SLOW_LEAST / votes))
         self.fail_least = max(1, ceil(FAIL_LEAST / votes))
         if grounds.may_subscribe:
@@ -659,7 +660,7 @@
         excess = log(self.slowness(self.recent(now - 2 * sight), self.calm) * self.warm_part / SHARED_RATIO)
         weight = self.share if self.phase is Phase.ON_TRIAL else RELEASED_WEIGHT
         self.slowed = max(0.0, self.slowed + excess * weight * JUDGE_EVERY)
-        shared = self.slowed >= SHARED_LIMIT
+        shared = self.slowed >= self.slowed_limit
         slow = self.slowness(sliced(cands, span), sliced(bases, span)) > SLOW_RATIO
         if worse or slow or (shared and new):
             self.cast(Verdict.BACK, now, f"failing {sorted(worse)}, slow {slow}, all slow {shared}")
