--- a/gullmount/benchlink/link.py
+++ b/gullmount/benchlink/link.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Callable
 from typing import Any, BinaryIO, ClassVar
 
@@ -37,6 +38,8 @@
     307: Outcome.MOOT,
 }
 VERDICTS = {Verdict.NONE: 0, Verdict.ON: 1, Verdict.HOLD: 2, Verdict.BACK: 3}
+SENSES = {sense: verdict for verdict, sense in VERDICTS.items()}
+VOTE_TOLD = re.compile(r"(\d{1,5}) (\d{1,3}) ([0-3])", re.ASCII)  # build, stage and sense of a peer's vote
 PHASES = {0: Phase.ON_TRIAL, 1: Phase.GOING_BACK, 2: Phase.RELEASED, 3: Phase.WITHDRAWN}
 KINDS = {
     "changes": ListKind.CHANGES,
@@ -67,7 +70,7 @@
     "Due": {"Who": int, "Name": int},
     "RolloutState": {"Who": int, "Disposition": int},
     "Tally": {"Who": int},
-    "NoteFrom": {"Who": int},
+    "NoteFrom": {"Who": int, "Neighbour": int, "Msg": str},
     "ProbeResult": {"Who": int},
     "ReportedWrong": {"Who": int},
 }
@@ -133,7 +136,9 @@
         routes=routes,
         release=release,
         zone=profile["Zone"],
+        number=profile["Me"],
         umpires=profile["Siblings"],
+        may_tell=ceilings["Peers"],
         link_idle=seconds(ceilings["ConnIdleUs"]),
         cold_share=rules["ColdFrom"],
         warm_time=seconds(rules["WarmAfterUs"]),
@@ -183,6 +188,9 @@
     def vote(self, build: int, stage: int, verdict: Verdict) -> None:
         self.act("Ruling", Ver=build, Step=stage, Sense=VERDICTS[verdict])
 
+    def tell(self, peer: int, build: int, stage: int, verdict: Verdict) -> None:
+        self.act("WritePeer", Target=peer, Msg=f"{build} {stage} {VERDICTS[verdict]}")
+
     def subscribe(self) -> None:
         self.act("KeepInformed", On=True)
 
@@ -236,6 +244,13 @@
         phase = look_up(PHASES, "RolloutState", event, "WhereAt")
         self.umpire.news(event["Ver"], event["Step"], phase, event["Allowed"])
 
+    def on_note_from(self, event: dict[str, Any]) -> None:
+        """A peer's text that is no vote is dropped: whoever sent it, it must not end this instance."""
+        told = VOTE_TOLD.fullmatch(event["Msg"])
+        if told is not None:
+            build, stage, sense = map(int, told.groups())
+            self.umpire.heard(event["Neighbour"], build, stage, SENSES[sense])
+
     def on_ignored(self, event: dict[str, Any]) -> None:
         """Events that no decision uses yet."""
 
@@ -248,7 +263,7 @@
         "Tally": on_ignored,
         "Left": on_left,
         "Begun": on_begun,
-        "NoteFrom": on_ignored,
+        "NoteFrom": on_note_from,
         "ProbeResult": on_ignored,
         "ReportedWrong": on_ignored,
     }
--- a/gullmount/interface.py
+++ b/gullmount/interface.py
@@ -101,7 +101,9 @@
     routes: Mapping[str, Route]
     release: ReleaseTerms
     zone: str
+    number: int
     umpires: int
+    may_tell: bool
     link_idle: float
     cold_share: float
     warm_time: float
@@ -139,6 +141,8 @@
 
     def vote(self, build: int, stage: int, verdict: Verdict) -> None: ...
 
+    def tell(self, peer: int, build: int, stage: int, verdict: Verdict) -> None: ...
+
     def subscribe(self) -> None: ...
 
     def log(self, text: str) -> None: ...
--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -9,13 +9,11 @@
 from __future__ import annotations
 
 import random
-from bisect import bisect_left, bisect_right
 from collections import defaultdict, deque
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 from hashlib import blake2b
 from math import ceil, e, inf, log, sqrt
 from statistics import NormalDist, median
-from typing import NamedTuple
 
 from gullmount.interface import (
     BoxState,
@@ -30,6 +28,7 @@
     Route,
     Verdict,
 )
+from gullmount.samples import Seen, Times, drop_before, merged, rank_surplus, sliced
 
 # The split (design page)
 CAP_USE = 0.8  # of the cap; the rest is room for chance and further tries
@@ -59,6 +58,10 @@
 JUDGE_EVERY = 0.25  # s between looks at the evidence
 RENEW = 0.5  # of a vote's life between renewals, so that one lost renewal does not let it lapse
 RENEW_LATE = 0.9  # of its life at most, where all umpires' renewals would ask for too many votes
+JUDGES = 2  # umpires that all others tell their vote, where one vote decides: one may be cut off
+PEERS_BACK = 0.05  # of all umpires that must tell "back" before a judge votes so: false alarms come singly
+PEERS_ON = 0.3  # of all umpires that must tell "on": most are heard even while a zone is cut off
+ALONE_AFTER = 8.0  # s of a stage after which an umpire no longer waits for the judges
 RECAST = 0.5  # s at most before a vote that got no good answer is cast again
 VOTES_USED = 0.8  # of the votes a second that are told
 
@@ -99,17 +102,6 @@
 
 TAKEN_OFF = (Phase.GOING_BACK, Phase.WITHDRAWN)
 PROVES_UNRUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
-Times = dict[tuple[str, int], list[float]]  # by route and slice
-
-
-class Seen(NamedTuple):
-    """What the judge keeps of a try that ended."""
-
-    at: float
-    time: float  # in objectives; below 0 it says nothing
-    failed: bool
-    box: str
-    warm: bool
 
 
 def place(key: str) -> float:
@@ -117,37 +109,6 @@
     return int.from_bytes(blake2b(key.encode(), digest_size=8).digest()) / 2**64
 
 
-def drop_before(times: deque[float], since: float) -> None:
-    while times and times[0] < since:
-        times.popleft()
-
-
-def rank_surplus(high: Sequence[float], low: Sequence[float]) -> tuple[float, float]:
-    """By how many pairs `high` ranks above `low` beyond chance, and that count's variance (Mann-Whitney)."""
-    ordered = sorted(low)
-    wins = sum((bisect_left(ordered, time) + bisect_right(ordered, time)) / 2 for time in high)
-    pairs = len(high) * len(low)
-    return wins - pairs / 2, pairs * (len(high) + len(low) + 1) / 12
-
-
-def merged(times: Times) -> Times:
-    """The routes of each slice taken together, for umpires that see too little of each."""
-    whole: Times = defaultdict(list)
-    for (_, part), of_route in times.items():
-        whole["", part] += of_route
-    return whole
-
-
-def sliced(outcomes: Mapping[str, Iterable[Seen]], span: float) -> Times:
-    """Times by route and slice of time, so that only the same seconds are compared."""
-    times: Times = defaultdict(list)
-    for route, seen in outcomes.items():
-        for one in seen:
-            if one.time >= 0:
-                times[route, int(one.at / span)].append(one.time)
-    return times
-
-
 class Pace:
     """Time that tries take, in objectives, drawn back to what is usual while nothing is heard.
 
@@ -321,7 +282,13 @@
         self.released_at = 0.0
         self.verdict = Verdict.NONE
         self.vote_again = 0.0
-        votes, many = max(1, self.release.back_votes), grounds.umpires
+        self.opinions: dict[int, tuple[Verdict, int, float]] = {}
+        self.stage_at = self.born
+        many = grounds.umpires
+        pooled = grounds.may_tell and self.release.to_advance == 1
+        votes = ceil(PEERS_BACK * many) if pooled else max(1, self.release.back_votes)
+        self.pooled = pooled and votes > 1
+        self.back_votes = votes
         alarm = FALSE_ALARM ** (1 / votes) * votes / (e * many * LOOKS)
         self.least_z = NormalDist().inv_cdf(1 - alarm)
         self.slowed_limit = SHARED_LIMIT * max(1.0, log(many / votes))
@@ -363,11 +330,13 @@
             return
         if build != self.build or phase is not self.phase or stage != self.stage:
             self.verdict = Verdict.NONE
+            self.stage_at = self.host.now()
         if phase is Phase.RELEASED and self.phase is Phase.ON_TRIAL:
             self.released_at = self.host.now()
         if build != self.build:
             self.share = 0.0
             self.failing = set()
+            self.opinions = {}
             self.calm = {}
             self.slowed = 0.0
         if sum(map(len, self.calm.values())) < self.slow_least:
@@ -629,8 +598,7 @@
             # A cold box is slow: its time is held for what it would be at the least warmth it can have had.
             time = latency * self.warmth(made.box, made.sent) / req.route.objective
             time = -1.0 if outcome is Outcome.ERROR else time
-            warm = self.warmth(made.box, made.sent) >= 1
-            seen = Seen(now, time, outcome is Outcome.ERROR, made.box.id, warm)
+            seen = Seen(now, time, outcome is Outcome.ERROR, made.box.id)
             self.seen[made.build, req.route.name].append(seen)
 
     def judge(self) -> None:
@@ -655,7 +623,7 @@
         least = self.fail_least
         worse = {route for route, cand in cands.items() if self.fails_more(cand, bases[route], least)}
         self.failing |= worse
-        sight = span if self.release.back_votes > 1 else SLICE
+        sight = span if self.back_votes > 1 else SLICE
         # Cold boxes take capacity away: as much slowness is not the build's.
         excess = log(self.slowness(self.recent(now - 2 * sight), self.calm) * self.warm_part / SHARED_RATIO)
         weight = self.share if self.phase is Phase.ON_TRIAL else RELEASED_WEIGHT
@@ -663,18 +631,20 @@
         shared = self.slowed >= self.slowed_limit
         slow = self.slowness(sliced(cands, span), sliced(bases, span)) > SLOW_RATIO
         if worse or slow or (shared and new):
-            self.cast(Verdict.BACK, now, f"failing {sorted(worse)}, slow {slow}, all slow {shared}")
+            alone = any(self.fails_more(cands[route], bases[route], FAIL_LEAST) for route in worse)
+            self.cast(Verdict.BACK, now, f"failing {sorted(worse)}, slow {slow}, all slow {shared}", alone)
         elif self.phase is Phase.ON_TRIAL and not self.release.timed:
             newest = [box.age(now) for box in self.boxes.values() if box.build == self.build and box.ready]
             settled = bool(newest) and min(newest) >= SETTLE
             failures = sum(seen.failed for cand in cands.values() for seen in cand)
             clean = sum(len(cand) for cand in cands.values()) - failures
-            many = self.release.to_advance > 1
+            many = self.pooled or self.release.to_advance > 1
             consents = many and settled and not failures and min(newest) >= SETTLE + CONSENT
             enough = consents or clean >= SLOW_LEAST or (clean >= CLEAN_LEAST and not failures)
             doubt = any(self.fails_more(cand, bases[route], 1) for route, cand in cands.items())
             if settled and enough and not doubt and not self.slowed:
-                self.cast(Verdict.ON, now, f"clean {clean}, failed {failures}")
+                alone = clean >= SLOW_LEAST and now - self.stage_at > ALONE_AFTER
+                self.cast(Verdict.ON, now, f"clean {clean}, failed {failures}", alone)
 
     def slowness(self, cands: Times, bases: Times) -> float:
         """How many times slower `cands` are than `bases`, all routes and slices weighed together; 1 in doubt.
@@ -709,8 +679,7 @@
         """Times on each route since then, whatever the build, but of warm boxes only."""
         times: Times = defaultdict(list)
         for (_, route), outcomes in self.seen.items():
-            lately = (one for one in outcomes if one.warm and one.at >= since)
-            times[route, 0] += [one.time for one in lately if one.time >= 0]
+            times[route, 0] += [one.time for one in outcomes if one.at >= since and one.time >= 0]
         return times
 
     def fails_more(self, cand: Sequence[Seen], base: Sequence[Seen], least: int) -> bool:
@@ -731,11 +700,36 @@
         base_share = sum(seen.failed for seen in base) / len(base) if base else 0.0
         return failed >= least and failed / sum(total for _, total in counts) > base_share + FAIL_MARGIN
 
-    def cast(self, verdict: Verdict, now: float, why: str) -> None:
+    def cast(self, verdict: Verdict, now: float, why: str, alone: bool) -> None:
         life, asked = self.release.vote_life, self.grounds.umpires / self.release.votes_per_s / VOTES_USED
         renew = life * RENEW if verdict is Verdict.BACK else max(life * RENEW, min(life * RENEW_LATE, asked))
-        if verdict is not self.verdict or now >= self.vote_again:
-            self.host.log(f"build {self.build} stage {self.stage}: votes {verdict.value}: {why}")
-            self.verdict = verdict
-            self.vote_again = now + renew
+        if verdict is self.verdict and now < self.vote_again:
+            return
+        self.host.log(f"build {self.build} stage {self.stage}: votes {verdict.value}: {why}")
+        self.verdict = verdict
+        self.vote_again = now + renew
+        if self.pooled and not alone:
+            for judge in range(JUDGES):
+                if judge != self.grounds.number:
+                    self.host.tell(judge, self.build, self.stage, verdict)
+            self.heard(self.grounds.number, self.build, self.stage, verdict)
+        else:
             self.host.vote(self.build, self.stage, verdict)
+
+    def heard(self, peer: int, build: int, stage: int, verdict: Verdict) -> None:
+        """A peer's vote. Where one vote decides, the first umpires cast it for many, else chance decides.
+
+        Guards against the one unlucky or lucky umpire among many. Harm: while messages are lost a stage
+        takes longer, and a bad build is sent back only by an umpire that saw enough alone.
+        """
+        now = self.host.now()
+        if build != self.build or self.phase in TAKEN_OFF or self.grounds.number >= JUDGES:
+            return
+        self.opinions[peer] = (verdict, stage, now)
+        standing = [told for told in self.opinions.values() if now - told[2] < self.release.vote_life]
+        backs = sum(told[0] is Verdict.BACK for told in standing)
+        ons = sum(told[:2] == (Verdict.ON, self.stage) for told in standing)
+        if backs >= self.back_votes:
+            self.host.vote(build, self.stage, Verdict.BACK)
+        elif ons >= PEERS_ON * self.grounds.umpires and not backs and self.phase is Phase.ON_TRIAL:
+            self.host.vote(build, self.stage, Verdict.ON)
--- /dev/null
+++ b/gullmount/samples.py
@@ -0,0 +1,50 @@
+"""Plain sums over what was seen of tries; nothing here decides anything."""
+
+from __future__ import annotations
+
+from bisect import bisect_left, bisect_right
+from collections import defaultdict, deque
+from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+Times = dict[tuple[str, int], list[float]]  # by route and slice
+
+
+class Seen(NamedTuple):
+    """What the judge keeps of a try that ended."""
+
+    at: float
+    time: float  # in objectives; below 0 it says nothing
+    failed: bool
+    box: str
+
+
+def drop_before(times: deque[float], since: float) -> None:
+    while times and times[0] < since:
+        times.popleft()
+
+
+def rank_surplus(high: Sequence[float], low: Sequence[float]) -> tuple[float, float]:
+    """By how many pairs `high` ranks above `low` beyond chance, and that count's variance (Mann-Whitney)."""
+    ordered = sorted(low)
+    wins = sum((bisect_left(ordered, time) + bisect_right(ordered, time)) / 2 for time in high)
+    pairs = len(high) * len(low)
+    return wins - pairs / 2, pairs * (len(high) + len(low) + 1) / 12
+
+
+def merged(times: Times) -> Times:
+    """The routes of each slice taken together."""
+    whole: Times = defaultdict(list)
+    for (_, part), of_route in times.items():
+        whole["", part] += of_route
+    return whole
+
+
+def sliced(outcomes: Mapping[str, Iterable[Seen]], span: float) -> Times:
+    """Times by route and slice of time, so that only the same seconds are compared."""
+    times: Times = defaultdict(list)
+    for route, seen in outcomes.items():
+        for one in seen:
+            if one.time >= 0:
+                times[route, int(one.at / span)].append(one.time)
+    return times
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -38,7 +38,8 @@
             "vote_life": 4.0, "to_advance": 1, "back_votes": 1, "votes_per_s": 100.0,
         }
         grounds: dict[str, Any] = {
-            "seed": 7, "zone": "a", "umpires": 2, "link_idle": 15.0, "cold_share": 0.3, "warm_time": 5.0,
+            "seed": 7, "zone": "a", "umpires": 2, "number": 0, "may_tell": False, "link_idle": 15.0,
+            "cold_share": 0.3, "warm_time": 5.0,
             "tip_multiple": 2.0, "max_tries": 4,
             "may_subscribe": False, "max_retry_after": 0.5,
         }
@@ -48,6 +49,7 @@
         self.sends: list[tuple[str, str, float]] = []
         self.answers: dict[str, list[str]] = {}
         self.votes: list[tuple[int, int, Verdict]] = []
+        self.told: list[tuple[int, int, int, Verdict]] = []
         self.asked = 0
         self.timers: list[tuple[float, int, Callable[[], None]]] = []
         self.count = 0
@@ -71,6 +73,9 @@
     def vote(self, build: int, stage: int, verdict: Verdict) -> None:
         self.votes.append((build, stage, verdict))
 
+    def tell(self, peer: int, build: int, stage: int, verdict: Verdict) -> None:
+        self.told.append((peer, build, stage, verdict))
+
     def subscribe(self) -> None:
         self.asked += 1
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -8,9 +8,9 @@
 from gullmount.benchlink.link import Malformed, serve
 
 PROFILE = {
-    "Azs": ["a"], "Zone": "a", "Siblings": 2, "Discovery": "subscribe", "NewKey": 1,
+    "Azs": ["a"], "Zone": "a", "Me": 0, "Siblings": 2, "Discovery": "subscribe", "NewKey": 1,
     "Ceilings": {"MaxAttempts": 4, "ParallelTries": True, "RetryAfter": False, "MaxRetryAfterUs": 0,
-                 "ConnIdleUs": 15000000},
+                 "ConnIdleUs": 15000000, "Peers": False},
     "Rules": {"StopSendingWithinUs": 500000, "ColdFrom": 0.3, "WarmAfterUs": 5000000, "TipMultiple": 2.0,
               "OverloadForUs": 1000000},
     "Grades": [{"Name": "g", "ObjectiveUs": 1000000, "Semantics": "idempotent", "Group": "all"}],
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -5,7 +5,7 @@
 import random
 
 from gullmount.interface import BoxState, ListKind, Outcome, Phase, Verdict
-from gullmount.policy import Seen
+from gullmount.samples import Seen
 from tests.helpers import Bench
 
 EARLIER = {f"a{n}": 1 for n in range(8)}
@@ -24,7 +24,7 @@
     """Outcomes as the judge keeps them, spread evenly over the span, times from one skewed law."""
     draw = random.Random(build).lognormvariate
     times = sorted((bench.clock + start + span * n / count, slowness * draw(-2.0, 0.8)) for n in range(count))
-    bench.umpire.seen[build, "look"].extend(Seen(at, time, False, "b0", True) for at, time in times)
+    bench.umpire.seen[build, "look"].extend(Seen(at, time, False, "b0") for at, time in times)
 
 
 def verdicts(bench: Bench) -> set[Verdict]:
@@ -69,7 +69,7 @@
 
 def test_failing_route_goes_back_and_stays_back() -> None:
     bench = on_trial()
-    bench.umpire.seen[2, "pay"].extend(Seen(bench.clock, -1.0, True, f"b{n % 2}", True) for n in range(6))
+    bench.umpire.seen[2, "pay"].extend(Seen(bench.clock, -1.0, True, f"b{n % 2}") for n in range(6))
     bench.pass_time(0.5)
     assert Verdict.BACK in verdicts(bench)
     for number in range(40):
@@ -80,7 +80,7 @@
 def test_one_broken_box_does_not_convict_the_build() -> None:
     bench = on_trial()
     for number in range(40):
-        seen = Seen(bench.clock, 0.1, number % 2 == 0, f"b{number % 2}", True)
+        seen = Seen(bench.clock, 0.1, number % 2 == 0, f"b{number % 2}")
         bench.umpire.seen[2, "pay"].append(seen)
     bench.pass_time(1.0)
     assert Verdict.BACK not in verdicts(bench)
