--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -61,7 +61,7 @@
 JUDGES = 2  # umpires that all others tell their vote, where one vote decides: one may be cut off
 PEERS_BACK = 0.05  # of all umpires that must tell "back" before a judge votes so: false alarms come singly
 PEERS_ON = 0.3  # of all umpires that must tell "on": most are heard even while a zone is cut off
-ALONE_AFTER = 8.0  # s of a stage after which an umpire no longer waits for the judges
+ALONE_MORE = 2.0  # s more after which an umpire that saw clean outcomes no longer waits for the judges
 RECAST = 0.5  # s at most before a vote that got no good answer is cast again
 VOTES_USED = 0.8  # of the votes a second that are told
 
@@ -280,10 +280,9 @@
         self.sparse = False
         self.warm_part = 1.0  # of the capacity of all ready boxes
         self.released_at = 0.0
-        self.verdict = Verdict.NONE
+        self.verdict = Verdict.NONE, False
         self.vote_again = 0.0
         self.opinions: dict[int, tuple[Verdict, int, float]] = {}
-        self.stage_at = self.born
         many = grounds.umpires
         pooled = grounds.may_tell and self.release.to_advance == 1
         votes = ceil(PEERS_BACK * many) if pooled else max(1, self.release.back_votes)
@@ -329,8 +328,7 @@
         if build < self.build:
             return
         if build != self.build or phase is not self.phase or stage != self.stage:
-            self.verdict = Verdict.NONE
-            self.stage_at = self.host.now()
+            self.verdict = Verdict.NONE, False  # what was voted last, and whether alone
         if phase is Phase.RELEASED and self.phase is Phase.ON_TRIAL:
             self.released_at = self.host.now()
         if build != self.build:
@@ -643,7 +641,7 @@
             enough = consents or clean >= SLOW_LEAST or (clean >= CLEAN_LEAST and not failures)
             doubt = any(self.fails_more(cand, bases[route], 1) for route, cand in cands.items())
             if settled and enough and not doubt and not self.slowed:
-                alone = clean >= SLOW_LEAST and now - self.stage_at > ALONE_AFTER
+                alone = clean >= CLEAN_LEAST and min(newest) > SETTLE + CONSENT + ALONE_MORE
                 self.cast(Verdict.ON, now, f"clean {clean}, failed {failures}", alone)
 
     def slowness(self, cands: Times, bases: Times) -> float:
@@ -703,10 +701,10 @@
     def cast(self, verdict: Verdict, now: float, why: str, alone: bool) -> None:
         life, asked = self.release.vote_life, self.grounds.umpires / self.release.votes_per_s / VOTES_USED
         renew = life * RENEW if verdict is Verdict.BACK else max(life * RENEW, min(life * RENEW_LATE, asked))
-        if verdict is self.verdict and now < self.vote_again:
+        if (verdict, alone) == self.verdict and now < self.vote_again:
             return
         self.host.log(f"build {self.build} stage {self.stage}: votes {verdict.value}: {why}")
-        self.verdict = verdict
+        self.verdict = verdict, alone
         self.vote_again = now + renew
         if self.pooled and not alone:
             for judge in range(JUDGES):
