--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -61,6 +61,7 @@
 JUDGES = 2  # umpires that all others tell their vote, where one vote decides: one may be cut off
 PEERS_BACK = 0.05  # of all umpires that must tell "back" before a judge votes so: false alarms come singly
 PEERS_ON = 0.3  # of all umpires that must tell "on": most are heard even while a zone is cut off
+TOLD_LIFE = 4.0  # s that a told vote stands: longer, and false alarms of several moments add up
 ALONE_MORE = 2.0  # s more after which an umpire that saw clean outcomes no longer waits for the judges
 RECAST = 0.5  # s at most before a vote that got no good answer is cast again
 VOTES_USED = 0.8  # of the votes a second that are told
@@ -242,6 +243,30 @@
         self.noted_at = now
 
 
+class Proof:
+    """How much evidence a vote asks for, by the told numbers of umpires and of the votes that must stand.
+
+    Guards against many judges: each looks at little, and by chance some see a good build fail or a bad one
+    shine. Where many votes are needed weak evidence adds up; where one decides, peers' votes are pooled.
+    Harm: an umpire that alone sees a failure among very many is not believed.
+    """
+
+    def __init__(self, grounds: Grounds) -> None:
+        release, many = grounds.release, grounds.umpires
+        votes = ceil(PEERS_BACK * many)
+        self.pooled = grounds.may_tell and release.to_advance == 1 and votes > 1
+        self.votes = votes = votes if self.pooled else max(1, release.back_votes)
+        alarm = FALSE_ALARM ** (1 / votes) * votes / (e * many * LOOKS)
+        self.least_z = NormalDist().inv_cdf(1 - alarm)
+        self.slowed = SHARED_LIMIT * max(1.0, log(many / votes))
+        self.slow_least = max(SLOW_FEW, ceil(SLOW_LEAST / votes))
+        self.fail_least = max(1, ceil(FAIL_LEAST / votes))
+        life = TOLD_LIFE if self.pooled else release.vote_life
+        asked = 0.0 if self.pooled else many / release.votes_per_s / VOTES_USED
+        late = max(life * RENEW, min(life * RENEW_LATE, asked))
+        self.renew = {Verdict.BACK: life * RENEW, Verdict.ON: late}
+
+
 class Umpire:
     """Lives as long as the instance."""
 
@@ -283,16 +308,7 @@
         self.verdict = Verdict.NONE, False
         self.vote_again = 0.0
         self.opinions: dict[int, tuple[Verdict, int, float]] = {}
-        many = grounds.umpires
-        pooled = grounds.may_tell and self.release.to_advance == 1
-        votes = ceil(PEERS_BACK * many) if pooled else max(1, self.release.back_votes)
-        self.pooled = pooled and votes > 1
-        self.back_votes = votes
-        alarm = FALSE_ALARM ** (1 / votes) * votes / (e * many * LOOKS)
-        self.least_z = NormalDist().inv_cdf(1 - alarm)
-        self.slowed_limit = SHARED_LIMIT * max(1.0, log(many / votes))
-        self.slow_least = max(SLOW_FEW, ceil(SLOW_LEAST / votes))
-        self.fail_least = max(1, ceil(FAIL_LEAST / votes))
+        self.proof = Proof(grounds)
         if grounds.may_subscribe:
             host.subscribe()
         host.call_after(JUDGE_EVERY * self.random(), self.judge)
@@ -337,7 +353,7 @@
             self.opinions = {}
             self.calm = {}
             self.slowed = 0.0
-        if sum(map(len, self.calm.values())) < self.slow_least:
+        if sum(map(len, self.calm.values())) < self.proof.slow_least:
             # An umpire started during the trial has no times from before: its first ones must do.
             self.calm = self.recent(0.0)
         if phase in TAKEN_OFF:
@@ -618,15 +634,15 @@
         cands = {route: self.seen.get((self.build, route), ()) for route in self.grounds.routes}
         since = min((cand[0].at for cand in cands.values() if cand), default=now) - span
         bases = {route: self.earlier(route, since) for route in cands}
-        least = self.fail_least
+        least = self.proof.fail_least
         worse = {route for route, cand in cands.items() if self.fails_more(cand, bases[route], least)}
         self.failing |= worse
-        sight = span if self.back_votes > 1 else SLICE
+        sight = span if self.proof.votes > 1 else SLICE
         # Cold boxes take capacity away: as much slowness is not the build's.
         excess = log(self.slowness(self.recent(now - 2 * sight), self.calm) * self.warm_part / SHARED_RATIO)
         weight = self.share if self.phase is Phase.ON_TRIAL else RELEASED_WEIGHT
         self.slowed = max(0.0, self.slowed + excess * weight * JUDGE_EVERY)
-        shared = self.slowed >= self.slowed_limit
+        shared = self.slowed >= self.proof.slowed
         slow = self.slowness(sliced(cands, span), sliced(bases, span)) > SLOW_RATIO
         if worse or slow or (shared and new):
             alone = any(self.fails_more(cands[route], bases[route], FAIL_LEAST) for route in worse)
@@ -636,7 +652,7 @@
             settled = bool(newest) and min(newest) >= SETTLE
             failures = sum(seen.failed for cand in cands.values() for seen in cand)
             clean = sum(len(cand) for cand in cands.values()) - failures
-            many = self.pooled or self.release.to_advance > 1
+            many = self.proof.pooled or self.release.to_advance > 1
             consents = many and settled and not failures and min(newest) >= SETTLE + CONSENT
             enough = consents or clean >= SLOW_LEAST or (clean >= CLEAN_LEAST and not failures)
             doubt = any(self.fails_more(cand, bases[route], 1) for route, cand in cands.items())
@@ -651,7 +667,7 @@
         """
         if self.sparse:
             cands, bases = merged(cands), merged(bases)
-        if sum(map(len, cands.values())) < self.slow_least:
+        if sum(map(len, cands.values())) < self.proof.slow_least:
             return 1.0
         ratios: list[float] = []
         surplus = variance = 0.0
@@ -663,7 +679,7 @@
                 wins, spread = rank_surplus(cand, base)
                 surplus += wins
                 variance += spread
-        sure = len(ratios) >= self.slow_least and surplus > self.least_z * sqrt(variance)
+        sure = len(ratios) >= self.proof.slow_least and surplus > self.proof.least_z * sqrt(variance)
         return median(ratios) if sure else 1.0
 
     def earlier(self, route: str, since: float) -> list[Seen]:
@@ -692,21 +708,20 @@
         for seen in cand:
             boxes[seen.box][0] += seen.failed
             boxes[seen.box][1] += 1
-        spared = (ceil if self.fail_least > 1 else int)(len(boxes) * SPARE_BOXES) if len(boxes) > 1 else 0
+        rounded = ceil if self.proof.fail_least > 1 and len(boxes) > 1 else int
+        spared = rounded(len(boxes) * SPARE_BOXES)
         counts = sorted(boxes.values(), key=lambda count: -count[0])[spared:]
         failed = sum(failures for failures, _ in counts)
         base_share = sum(seen.failed for seen in base) / len(base) if base else 0.0
         return failed >= least and failed / sum(total for _, total in counts) > base_share + FAIL_MARGIN
 
     def cast(self, verdict: Verdict, now: float, why: str, alone: bool) -> None:
-        life, asked = self.release.vote_life, self.grounds.umpires / self.release.votes_per_s / VOTES_USED
-        renew = life * RENEW if verdict is Verdict.BACK else max(life * RENEW, min(life * RENEW_LATE, asked))
         if (verdict, alone) == self.verdict and now < self.vote_again:
             return
         self.host.log(f"build {self.build} stage {self.stage}: votes {verdict.value}: {why}")
         self.verdict = verdict, alone
-        self.vote_again = now + renew
-        if self.pooled and not alone:
+        self.vote_again = now + self.proof.renew[verdict]
+        if self.proof.pooled and not alone:
             for judge in range(JUDGES):
                 if judge != self.grounds.number:
                     self.host.tell(judge, self.build, self.stage, verdict)
@@ -724,10 +739,10 @@
         if build != self.build or self.phase in TAKEN_OFF or self.grounds.number >= JUDGES:
             return
         self.opinions[peer] = (verdict, stage, now)
-        standing = [told for told in self.opinions.values() if now - told[2] < self.release.vote_life]
+        standing = [told for told in self.opinions.values() if now - told[2] < TOLD_LIFE]
         backs = sum(told[0] is Verdict.BACK for told in standing)
         ons = sum(told[:2] == (Verdict.ON, self.stage) for told in standing)
-        if backs >= self.back_votes:
+        if backs >= self.proof.votes:
             self.host.vote(build, self.stage, Verdict.BACK)
         elif ons >= PEERS_ON * self.grounds.umpires and not backs and self.phase is Phase.ON_TRIAL:
             self.host.vote(build, self.stage, Verdict.ON)
