--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -80,6 +80,7 @@
 UNLINKED = 1.3  # times the wait of a box without an open connection: a handshake costs time and work
 LINK_SMOOTH = 0.2  # weight of the newest try without a connection in the share of those that get none
 LINK_FAILS = 0.15  # share from which on only boxes with an open connection are drawn: two new failures
+LINK_LOST = 0.05  # share from which on slowness is laid to lost boxes or links, not to the build
 SPREAD = 0.1  # of a box's cost by chance, so that umpires alike in all do not choose alike
 FAR = 1.3  # times the wait of a box in another zone: crossing has a price, idle boxes there are worth it
 FORGET = 3.0  # s in which half of what a box's old times say is forgotten, so that it is tried again
@@ -640,6 +641,8 @@
         sight = span if self.proof.votes > 1 else SLICE
         # Cold boxes take capacity away: as much slowness is not the build's.
         excess = log(self.slowness(self.recent(now - 2 * sight), self.calm) * self.warm_part / SHARED_RATIO)
+        if self.link_fails > LINK_LOST:
+            excess = min(0.0, excess)  # lost boxes or links slow the others, whatever the build
         weight = self.share if self.phase is Phase.ON_TRIAL else RELEASED_WEIGHT
         self.slowed = max(0.0, self.slowed + excess * weight * JUDGE_EVERY)
         shared = self.slowed >= self.proof.slowed
