--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -73,6 +73,8 @@
 EJECT_MOST = 8.0  # s; a box that is back is found within this time
 FIRST_TIME = 0.15  # of the objective, taken for an answer's time before any outcome
 USUAL_SMOOTH = 0.05  # weight of the newest outcome in the time that is usual: about the last twenty
+HOPE = 0.6  # of the usual time that must be left to a req: of those with less most would be wasted work
+JAMMED = 0.5  # objectives of usual time from which a late try is waited for: cut off, it works on unseen
 ZONE_SLOW = 2.0  # times the quickest zone's time from which a zone's boxes are left out
 ZONE_FORGET = 10.0  # s in which half of what a zone's old times say is forgotten: a try there is a risk
 CHOICES = 3  # boxes drawn to choose among, at least: two are much better than one, more add little
@@ -118,8 +120,9 @@
     then.
     """
 
-    def __init__(self, forget: float) -> None:
+    def __init__(self, forget: float, smooth: float = SMOOTH) -> None:
         self.forget = forget
+        self.smooth = smooth
         self.time = 0.0
         self.told = -inf
 
@@ -128,7 +131,7 @@
 
     def note(self, time: float, usual: float, now: float) -> None:
         self.time = self.expected(usual, now)
-        self.time += SMOOTH * (time - self.time)
+        self.time += self.smooth * (time - self.time)
         self.told = now
 
 
@@ -281,7 +284,7 @@
         self.born = host.now()
         self.answered: deque[float] = deque()
         self.link_fails = 0.0
-        self.usual = FIRST_TIME
+        self.pace = Pace(ZONE_FORGET, USUAL_SMOOTH)
         self.zones: dict[str, Pace] = defaultdict(lambda: Pace(ZONE_FORGET))
         self.retry_room = max(1.0, RETRY_ROOM / grounds.umpires)
         self.retries = self.retry_room
@@ -410,7 +413,9 @@
         """Send the req on, or end it at once: a req that is given up is never sat on."""
         now = self.host.now()
         box = None
-        if now < req.give_up and (not req.tries or self.retries >= 1):
+        # Guards against work for clients that will have left: retries without patience, jams, late reqs.
+        hopeful = req.give_up - now > HOPE * self.usual(now) * req.route.objective
+        if hopeful and (not req.tries or self.retries >= 1):
             box = self.pick(req, now)
         if box is not None:
             self.send(req, box, now)
@@ -427,7 +432,7 @@
         left = req.give_up - now
         patience = left
         could_follow = req.route.repeats is not Repeats.NON_RETRIABLE
-        if could_follow and len(req.tries) + 1 < self.grounds.max_tries:
+        if could_follow and len(req.tries) + 1 < self.grounds.max_tries and self.usual(now) < JAMMED:
             patience = max(left / 2, min(left, TRY_OBJECTIVE * req.route.objective))
         sends = self.ledger(req).sends[box.build]
         sends.append(now)
@@ -558,7 +563,7 @@
 
         pool = [box for box in self.ready(wants_trial) or self.ready(False) if box.build in roomy]
         choices = max(CHOICES, ceil(len(pool) * ALL_SEEN / self.grounds.umpires))
-        paces = {zone: pace.expected(self.usual, now) for zone, pace in self.zones.items()}
+        paces = {zone: pace.expected(self.usual(now), now) for zone, pace in self.zones.items()}
         slow = {zone for zone, pace in paces.items() if pace > ZONE_SLOW * min(paces.values())}
         pool = [box for box in pool if box.zone not in slow] or pool
         linked = [box for box in pool if box.linked_until > now]
@@ -574,10 +579,13 @@
             pool = [box for rev in sorted(roomy) for box in self.pools[rev]]
         return min((box for box in pool if self.allowed(req, box, now)), key=cost, default=None)
 
+    def usual(self, now: float) -> float:
+        return self.pace.expected(FIRST_TIME, now)
+
     def wait(self, box: Box, now: float) -> float:
         far = (1.0 if box.zone == self.grounds.zone else FAR) * (1 + SPREAD * self.random())
         far *= 1.0 if box.linked_until > now else UNLINKED
-        pace = box.pace.expected(self.zones[box.zone].expected(self.usual, now), now)
+        pace = box.pace.expected(self.zones[box.zone].expected(self.usual(now), now), now)
         return far * (box.open + 1) * pace / (box.power * self.warmth(box, now))
 
     def note_health(self, box: Box, outcome: Outcome, latency: float, objective: float, now: float) -> None:
@@ -601,10 +609,10 @@
         if silent or outcome is Outcome.ERROR:
             time = max(1.0, time)
         if silent or outcome is Outcome.COMPLETED:
-            self.usual += USUAL_SMOOTH * (time - self.usual)
-            self.zones[box.zone].note(time, self.usual, now)
+            self.pace.note(time, FIRST_TIME, now)
+            self.zones[box.zone].note(time, self.usual(now), now)
         if outcome in (Outcome.COMPLETED, Outcome.TIMEOUT, Outcome.ERROR):
-            box.pace.note(time, self.zones[box.zone].expected(self.usual, now), now)
+            box.pace.note(time, self.zones[box.zone].expected(self.usual(now), now), now)
 
     # The judge
 
