--- a/gullmount/benchlink/link.py
+++ b/gullmount/benchlink/link.py
@@ -69,7 +69,9 @@
     "Left": {"Who": int, "Id": str},
     "Due": {"Who": int, "Name": int},
     "RolloutState": {"Who": int, "Disposition": int},
-    "Tally": {"Who": int},
+    "Tally": {
+        "Who": int, "Grade": str, "Ver": int, "N": int, "Lost": int, "CostTimeUs": MAYBE_INT, "AgeUs": int,
+    },
     "NoteFrom": {"Who": int, "Neighbour": int, "Msg": str},
     "ProbeResult": {"Who": int},
     "ReportedWrong": {"Who": int},
@@ -130,6 +132,7 @@
         to_advance=specifics["ToAdvance"],
         back_votes=specifics["BackVotes"],
         votes_per_s=specifics["VotesPerS"],
+        tally_period=seconds(specifics["MetricsPeriodUs"]),
     )
     return Grounds(
         seed=seed,
@@ -251,6 +254,11 @@
             build, stage, sense = map(int, told.groups())
             self.umpire.heard(event["Neighbour"], build, stage, SENSES[sense])
 
+    def on_tally(self, event: dict[str, Any]) -> None:
+        look_up(self.routes, "Tally", event, "Grade")
+        counts = event["Ver"], event["Grade"], event["N"], event["Lost"]
+        self.umpire.tallied(*counts, seconds(event["CostTimeUs"]), seconds(event["AgeUs"]))
+
     def on_ignored(self, event: dict[str, Any]) -> None:
         """Events that no decision uses yet."""
 
@@ -260,7 +268,7 @@
         "Due": on_due,
         "Fleet": on_fleet,
         "RolloutState": on_rollout_state,
-        "Tally": on_ignored,
+        "Tally": on_tally,
         "Left": on_left,
         "Begun": on_begun,
         "NoteFrom": on_note_from,
--- a/gullmount/interface.py
+++ b/gullmount/interface.py
@@ -91,6 +91,7 @@
     to_advance: int
     back_votes: int
     votes_per_s: float
+    tally_period: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -28,7 +28,7 @@
     Route,
     Verdict,
 )
-from gullmount.samples import Seen, Times, drop_before, merged, rank_surplus, sliced
+from gullmount.samples import Counts, Seen, Times, drop_before, merged, rank_surplus, sliced
 
 # The split (design page)
 CAP_USE = 0.8  # of the cap; the rest is room for chance and further tries
@@ -38,6 +38,8 @@
 # The judge (design page)
 FAIL_MARGIN = 0.02  # failures more, as a share, that send a build back
 FAIL_LEAST = 3  # failures that must have been seen for that
+TALLY_Z = 3.0  # standard errors, also of tallies: all umpires are told the same and vote alike
+TALLY_BASE = 3  # tries of the earlier build that make a tally of a route count
 SPARE_BOXES = 0.25  # of the boxes, those that fail most, are left out: broken ones are fewer than that
 SLOW_RATIO = 1.5  # times the other build's median time that sends a build back
 SLOW_LEAST = 20  # outcomes that the median needs where one vote decides; many votes add up
@@ -305,6 +307,8 @@
         # The judge
         self.seen: dict[tuple[int, str], deque[Seen]] = defaultdict(deque)
         self.calm: Times = {}
+        self.counts = Counts()
+        self.base_counts: dict[str, tuple[int, int, float]] = {}
         self.slowed = 0.0
         self.sparse = False
         self.warm_part = 1.0  # of the capacity of all ready boxes
@@ -355,6 +359,7 @@
             self.share = 0.0
             self.failing = set()
             self.opinions = {}
+            self.counts = Counts()
             self.calm = {}
             self.slowed = 0.0
         if sum(map(len, self.calm.values())) < self.proof.slow_least:
@@ -365,6 +370,25 @@
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
         self.share = min(self.share, cap)
 
+    def tallied(self, build: int, route: str, tries: int, lost: int, time: float, age: float) -> None:
+        """The platform's count of tries at one build on one route; the same reaches all umpires."""
+        if build < self.build and tries >= TALLY_BASE:
+            self.base_counts[route] = tries, lost, time
+        elif build == self.build and self.phase is Phase.ON_TRIAL and tries and route in self.base_counts:
+            then = self.host.now() - age - self.release.tally_period / 2
+            warmths = [self.warmth(box, then) for box in self.ready(True) if box.age(then) > 0]
+            warm = sum(warmths) / len(warmths) if warmths else self.grounds.cold_share
+            self.counts.add(tries, lost, time * warm, self.base_counts[route])
+
+    def tally_worse(self) -> bool:
+        counts = self.counts
+        if not counts.time or not counts.usual_time:
+            return False
+        error = TALLY_Z * sqrt(1 / counts.tries + 1 / counts.base_tries)
+        slow = log(counts.time / counts.usual_time) > max(log(SLOW_RATIO), error)
+        margin = max(FAIL_LEAST, FAIL_MARGIN * counts.tries, TALLY_Z * sqrt(counts.usual_lost))
+        return slow or counts.lost - counts.usual_lost >= margin
+
     def vote_failed(self) -> None:
         """The last vote got no good answer: a later look casts it again, not all umpires in step."""
         self.vote_again = self.host.now() + self.random() * RECAST
@@ -655,9 +679,11 @@
         self.slowed = max(0.0, self.slowed + excess * weight * JUDGE_EVERY)
         shared = self.slowed >= self.proof.slowed
         slow = self.slowness(sliced(cands, span), sliced(bases, span)) > SLOW_RATIO
-        if worse or slow or (shared and new):
+        counted = self.tally_worse()
+        if worse or slow or counted or (shared and new):
+            why = f"failing {sorted(worse)}, slow {slow}, tallies {counted}, all slow {shared}"
             alone = any(self.fails_more(cands[route], bases[route], FAIL_LEAST) for route in worse)
-            self.cast(Verdict.BACK, now, f"failing {sorted(worse)}, slow {slow}, all slow {shared}", alone)
+            self.cast(Verdict.BACK, now, why, alone)
         elif self.phase is Phase.ON_TRIAL and not self.release.timed:
             newest = [box.age(now) for box in self.boxes.values() if box.build == self.build and box.ready]
             settled = bool(newest) and min(newest) >= SETTLE
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -16,7 +16,8 @@
     "Grades": [{"Name": "g", "ObjectiveUs": 1000000, "Semantics": "idempotent", "Group": "all"}],
     "Specifics": {"ExposureCaps": [0.1, 1.0], "Shares": [0.1, 1.0], "Swap": "beside", "CountedBy": "all",
                   "ClosedStages": 0, "OneWay": False, "SpanUs": 3000000, "SpareTries": 2.0,
-                  "GateMode": "any", "VoteLifeUs": 4000000, "ToAdvance": 1, "BackVotes": 1, "VotesPerS": 50},
+                  "GateMode": "any", "VoteLifeUs": 4000000, "ToAdvance": 1, "BackVotes": 1, "VotesPerS": 50,
+                  "MetricsPeriodUs": 0},
 }
 SYNC = {"verb": "Sync", "TsUs": 5000000}
 SPAWN = {"verb": "Spawn", "Who": 3, "RngSeed": 9, "ProfileData": PROFILE}
