--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -45,6 +45,7 @@
 SLOW_LEAST = 20  # outcomes that the median needs where one vote decides; many votes add up
 SLOW_FEW = 2  # outcomes that it always needs
 FALSE_ALARM = 0.01  # chance that the votes that good builds draw by chance send one back, for some looks
+LOCAL = 3  # votes up to which one stray cause may be behind them all: they add nothing to one another
 LOOKS = 4.0  # independent looks at the evidence while it changes in a trial
 SHARED_RATIO = 1.5  # times the usual time from before the trial that load alone may bring
 SHARED_LIMIT = 0.8  # log of the ratio beyond that, times the build's share, summed over s
@@ -262,11 +263,12 @@
         votes = ceil(PEERS_BACK * many)
         self.pooled = grounds.may_tell and release.to_advance == 1 and votes > 1
         self.votes = votes = votes if self.pooled else max(1, release.back_votes)
-        alarm = FALSE_ALARM ** (1 / votes) * votes / (e * many * LOOKS)
+        apart = votes if votes > LOCAL else 1
+        alarm = FALSE_ALARM ** (1 / apart) * votes / (e * many * LOOKS)
         self.least_z = NormalDist().inv_cdf(1 - alarm)
         self.slowed = SHARED_LIMIT * max(1.0, log(many / votes))
-        self.slow_least = max(SLOW_FEW, ceil(SLOW_LEAST / votes))
-        self.fail_least = max(1, ceil(FAIL_LEAST / votes))
+        self.slow_least = max(SLOW_FEW, ceil(SLOW_LEAST / apart))
+        self.fail_least = max(1, round(FAIL_LEAST / apart))
         life = TOLD_LIFE if self.pooled else release.vote_life
         asked = 0.0 if self.pooled else many / release.votes_per_s / VOTES_USED
         late = max(life * RENEW, min(life * RENEW_LATE, asked))
@@ -386,7 +388,7 @@
             return False
         error = TALLY_Z * sqrt(1 / counts.tries + 1 / counts.base_tries)
         slow = log(counts.time / counts.usual_time) > max(log(SLOW_RATIO), error)
-        margin = max(FAIL_LEAST, FAIL_MARGIN * counts.tries, TALLY_Z * sqrt(counts.usual_lost))
+        margin = max(FAIL_LEAST, FAIL_MARGIN * counts.tries, TALLY_Z * sqrt(counts.usual_lost + 1))
         return slow or counts.lost - counts.usual_lost >= margin
 
     def vote_failed(self) -> None:
