--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -263,7 +263,8 @@
         votes = ceil(PEERS_BACK * many)
         self.pooled = grounds.may_tell and release.to_advance == 1 and votes > 1
         self.votes = votes = votes if self.pooled else max(1, release.back_votes)
-        apart = votes if votes > LOCAL else 1
+        self.many = votes > LOCAL  # then each umpire sees little, and takes all routes together
+        apart = votes if self.many else 1
         alarm = FALSE_ALARM ** (1 / apart) * votes / (e * many * LOOKS)
         self.least_z = NormalDist().inv_cdf(1 - alarm)
         self.slowed = SHARED_LIMIT * max(1.0, log(many / votes))
@@ -312,7 +313,6 @@
         self.counts = Counts()
         self.base_counts: dict[str, tuple[int, int, float]] = {}
         self.slowed = 0.0
-        self.sparse = False
         self.warm_part = 1.0  # of the capacity of all ready boxes
         self.released_at = 0.0
         self.verdict = Verdict.NONE, False
@@ -664,17 +664,15 @@
         if self.phase in TAKEN_OFF or not (new or any(build == self.build for build, _ in self.seen)):
             return
         rate = (sum(map(len, self.seen.values())) + 1) / SIGHT
-        self.sparse = SLICE_NEEDS * len(self.grounds.routes) > rate * SIGHT / 2
-        span = max(SLICE, SLICE_NEEDS * (1 if self.sparse else len(self.grounds.routes)) / rate)
+        span = max(SLICE, SLICE_NEEDS / rate) if self.proof.many else SLICE
         cands = {route: self.seen.get((self.build, route), ()) for route in self.grounds.routes}
         since = min((cand[0].at for cand in cands.values() if cand), default=now) - span
         bases = {route: self.earlier(route, since) for route in cands}
         least = self.proof.fail_least
         worse = {route for route, cand in cands.items() if self.fails_more(cand, bases[route], least)}
         self.failing |= worse
-        sight = span if self.proof.votes > 1 else SLICE
         # Cold boxes take capacity away: as much slowness is not the build's.
-        excess = log(self.slowness(self.recent(now - 2 * sight), self.calm) * self.warm_part / SHARED_RATIO)
+        excess = log(self.slowness(self.recent(now - 2 * span), self.calm) * self.warm_part / SHARED_RATIO)
         if self.link_fails > LINK_LOST:
             excess = min(0.0, excess)  # lost boxes or links slow the others, whatever the build
         weight = self.share if self.phase is Phase.ON_TRIAL else RELEASED_WEIGHT
@@ -704,7 +702,7 @@
 
         One umpire sees few of each route early in a trial; relative to the base's median they add up.
         """
-        if self.sparse:
+        if self.proof.many:
             cands, bases = merged(cands), merged(bases)
         if sum(map(len, cands.values())) < self.proof.slow_least:
             return 1.0
