--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -644,9 +644,10 @@
 
     def note_evidence(self, req: Req, made: Try, outcome: Outcome, latency: float, now: float) -> None:
         if outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.TIMEOUT):
-            # A cold box is slow: its time is held for what it would be at the least warmth it can have had.
-            time = latency * self.warmth(made.box, made.sent) / req.route.objective
-            time = -1.0 if outcome is Outcome.ERROR else time
+            # A cold box is slow. Where each umpire sees little, its time counts at the least warmth it had.
+            warmth = self.warmth(made.box, made.sent)
+            silent = outcome is Outcome.ERROR or (warmth < 1 and not self.proof.many)
+            time = -1.0 if silent else latency * warmth / req.route.objective
             seen = Seen(now, time, outcome is Outcome.ERROR, made.box.id)
             self.seen[made.build, req.route.name].append(seen)
 
