--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -591,11 +591,10 @@
         choices = max(CHOICES, ceil(len(pool) * ALL_SEEN / self.grounds.umpires))
         paces = {zone: pace.expected(self.usual(now), now) for zone, pace in self.zones.items()}
         slow = {zone for zone, pace in paces.items() if pace > ZONE_SLOW * min(paces.values())}
-        pool = [box for box in pool if box.zone not in slow] or pool
-        linked = [box for box in pool if box.linked_until > now]
-        if linked and self.link_fails > LINK_FAILS:
-            pool = linked
-        if pool and (choices < len(pool) or pool is linked or slow):
+        if choices < len(pool):
+            pool = [box for box in pool if box.zone not in slow] or pool
+            if self.link_fails > LINK_FAILS:
+                pool = [box for box in pool if box.linked_until > now] or pool
             drawn = [pool[int(self.random() * len(pool))] for _ in range(choices)]
             good = [box for box in drawn if usable(box) and self.allowed(req, box, now)]
             if good:
