--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -76,6 +76,7 @@
 EJECT_MOST = 8.0  # s; a box that is back is found within this time
 FIRST_TIME = 0.15  # of the objective, taken for an answer's time before any outcome
 USUAL_SMOOTH = 0.05  # weight of the newest outcome in the time that is usual: about the last twenty
+UNKNOWN = 0.7  # of the zone's time, held for a box of which nothing is heard: hope, so that it is tried
 HOPE = 0.6  # of the usual time that must be left to a req: of those with less most would be wasted work
 JAMMED = 0.5  # objectives of usual time from which a late try is waited for: cut off, it works on unseen
 ZONE_SLOW = 2.0  # times the quickest zone's time from which a zone's boxes are left out
@@ -607,10 +608,13 @@
     def usual(self, now: float) -> float:
         return self.pace.expected(FIRST_TIME, now)
 
+    def unknown(self, box: Box, now: float) -> float:
+        return UNKNOWN * self.zones[box.zone].expected(self.usual(now), now)
+
     def wait(self, box: Box, now: float) -> float:
         far = (1.0 if box.zone == self.grounds.zone else FAR) * (1 + SPREAD * self.random())
         far *= 1.0 if box.linked_until > now else UNLINKED
-        pace = box.pace.expected(self.zones[box.zone].expected(self.usual(now), now), now)
+        pace = box.pace.expected(self.unknown(box, now), now)
         return far * (box.open + 1) * pace / (box.power * self.warmth(box, now))
 
     def note_health(self, box: Box, outcome: Outcome, latency: float, objective: float, now: float) -> None:
@@ -637,7 +641,7 @@
             self.pace.note(time, FIRST_TIME, now)
             self.zones[box.zone].note(time, self.usual(now), now)
         if outcome in (Outcome.COMPLETED, Outcome.TIMEOUT, Outcome.ERROR):
-            box.pace.note(time, self.zones[box.zone].expected(self.usual(now), now), now)
+            box.pace.note(time, self.unknown(box, now), now)
 
     # The judge
 
