--- a/gullmount/benchlink/link.py
+++ b/gullmount/benchlink/link.py
@@ -23,7 +23,8 @@
     Route,
     Verdict,
 )
-from gullmount.policy import Req, Umpire
+from gullmount.policy import Umpire
+from gullmount.state import Req
 
 MICRO = 1e6  # microseconds in a second, the wire's unit of time
 
--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -12,7 +12,7 @@
 from collections import defaultdict, deque
 from collections.abc import Iterable, Sequence
 from hashlib import blake2b
-from math import ceil, e, inf, log, sqrt
+from math import ceil, e, log, sqrt
 from statistics import NormalDist, median
 
 from gullmount.interface import (
@@ -25,10 +25,10 @@
     Outcome,
     Phase,
     Repeats,
-    Route,
     Verdict,
 )
 from gullmount.samples import Counts, Seen, Times, drop_before, merged, rank_surplus, sliced
+from gullmount.state import Box, Pace, Req, Try
 
 # The split (design page)
 CAP_USE = 0.8  # of the cap; the rest is room for chance and further tries
@@ -117,97 +117,6 @@
     return int.from_bytes(blake2b(key.encode(), digest_size=8).digest()) / 2**64
 
 
-class Pace:
-    """Time that tries take, in objectives, drawn back to what is usual while nothing is heard.
-
-    Guards against shunning for ever what was slow or silent once. Harm: what stays slow gets a try now and
-    then.
-    """
-
-    def __init__(self, forget: float, smooth: float = SMOOTH) -> None:
-        self.forget = forget
-        self.smooth = smooth
-        self.time = 0.0
-        self.told = -inf
-
-    def expected(self, usual: float, now: float) -> float:
-        return usual + (self.time - usual) * 0.5 ** ((now - self.told) / self.forget)
-
-    def note(self, time: float, usual: float, now: float) -> None:
-        self.time = self.expected(usual, now)
-        self.time += self.smooth * (time - self.time)
-        self.told = now
-
-
-class Try:
-    """Lives as long as one upstream try."""
-
-    def __init__(self, box: Box, sent: float) -> None:
-        self.box = box
-        self.build = box.build
-        self.group = (box.zone, box.cell)
-        self.sent = sent
-        self.linked = box.linked_until > sent
-
-
-class Box:
-    """Lives as long as the box is listed."""
-
-    def __init__(self, line: Listed, order: float) -> None:
-        self.id = line.box
-        self.started = -1.0
-        self.order = order
-        self.open = 0
-        self.update(line, 0.0)
-
-    def update(self, line: Listed, now: float) -> None:
-        if line.build != getattr(self, "build", None) or line.started != self.started:
-            self.pace = Pace(FORGET)
-            self.failing = 0
-            self.out_until = 0.0
-            self.out_for = EJECT_FOR
-            self.linked_until = 0.0
-            self.credit = self.order
-            self.credited = now
-        self.zone = line.zone
-        self.cell = line.cell
-        self.build = line.build
-        self.ready = line.state is BoxState.READY
-        self.power = line.power or 1.0
-        self.started = line.started
-
-    def age(self, now: float) -> float:
-        return now - self.started if self.started > 0 else now
-
-
-class Req:
-    """The handle of one taken req; lives until its last try has ended."""
-
-    def __init__(self, umpire: Umpire, req_id: str, route: Route, give_up: float, key: str | None) -> None:
-        self.umpire = umpire
-        self.id = req_id
-        self.route = route
-        self.give_up = give_up
-        self.key = key
-        self.tries: list[Try] = []
-        self.open_tries: set[int] = set()
-        self.settled = False
-        self.group_of: tuple[str, int] | None = None  # zone and cell of the first try that may have run
-        self.group_until = 0.0
-        self.hash = place(key or req_id)
-
-    def ended(self, number: int, outcome: Outcome, latency: float, final: bool) -> None:
-        """A try ended; `final` says that the req is over, by this outcome or earlier."""
-        self.umpire.try_ended(self, number, outcome, latency, final)
-
-    def begun(self, number: int) -> None:
-        """A streamed answer has started: the rest of it belongs to the client."""
-
-    def left(self) -> None:
-        """The client left; nothing is owed any more."""
-        self.settled = True
-
-
 class Ledger:
     """Sends at one build on trial against the reqs taken, in the trailing window, for one count."""
 
@@ -290,8 +199,8 @@
         self.born = host.now()
         self.answered: deque[float] = deque()
         self.link_fails = 0.0
-        self.pace = Pace(ZONE_FORGET, USUAL_SMOOTH)
-        self.zones: dict[str, Pace] = defaultdict(lambda: Pace(ZONE_FORGET))
+        self.pace = Pace()
+        self.zones: dict[str, Pace] = defaultdict(Pace)
         self.retry_room = max(1.0, RETRY_ROOM / grounds.umpires)
         self.retries = self.retry_room
         least = min(WIDTH_LEAST, WIDTH_LEAST_ALL / grounds.umpires)
@@ -400,7 +309,7 @@
 
     def take(self, req_id: str, route: str, give_up: float, key: str | None) -> Req:
         now = self.host.now()
-        req = Req(self, req_id, self.grounds.routes[route], give_up, key)
+        req = Req(self, req_id, self.grounds.routes[route], give_up, key, place(key or req_id))
         ledger = self.ledger(req)
         ledger.reqs.append(now)
         drop_before(ledger.reqs, now - self.release.window)
@@ -571,7 +480,7 @@
         drawn by chance. Guards against all of them ranking alike, which fills one zone or the boxes not yet
         tried, and costs less. Harm: a busy umpire among many sees less than it could.
         """
-        wants_trial = req.hash < self.share and req.route.name not in self.failing
+        wants_trial = req.place < self.share and req.route.name not in self.failing
         if req.tries and self.on_trial(req.tries[-1].build):
             wants_trial = False
         if req.key is not None and self.met.get(req.key, -1) == self.build:
@@ -590,7 +499,8 @@
 
         pool = [box for box in self.ready(wants_trial) or self.ready(False) if box.build in roomy]
         choices = max(CHOICES, ceil(len(pool) * ALL_SEEN / self.grounds.umpires))
-        paces = {zone: pace.expected(self.usual(now), now) for zone, pace in self.zones.items()}
+        usual = self.usual(now)
+        paces = {zone: pace.expected(usual, ZONE_FORGET, now) for zone, pace in self.zones.items()}
         slow = {zone for zone, pace in paces.items() if pace > ZONE_SLOW * min(paces.values())}
         if choices < len(pool):
             pool = [box for box in pool if box.zone not in slow] or pool
@@ -606,15 +516,15 @@
         return min((box for box in pool if self.allowed(req, box, now)), key=cost, default=None)
 
     def usual(self, now: float) -> float:
-        return self.pace.expected(FIRST_TIME, now)
+        return self.pace.expected(FIRST_TIME, ZONE_FORGET, now)
 
     def unknown(self, box: Box, now: float) -> float:
-        return UNKNOWN * self.zones[box.zone].expected(self.usual(now), now)
+        return UNKNOWN * self.zones[box.zone].expected(self.usual(now), ZONE_FORGET, now)
 
     def wait(self, box: Box, now: float) -> float:
         far = (1.0 if box.zone == self.grounds.zone else FAR) * (1 + SPREAD * self.random())
         far *= 1.0 if box.linked_until > now else UNLINKED
-        pace = box.pace.expected(self.unknown(box, now), now)
+        pace = box.pace.expected(self.unknown(box, now), FORGET, now)
         return far * (box.open + 1) * pace / (box.power * self.warmth(box, now))
 
     def note_health(self, box: Box, outcome: Outcome, latency: float, objective: float, now: float) -> None:
@@ -627,21 +537,21 @@
         if outcome in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT, Outcome.RESET, Outcome.ERROR):
             box.failing += 1
             if box.failing >= EJECT_AFTER and box.out_until <= now:
+                box.out_for = min(EJECT_MOST, max(EJECT_FOR, box.out_for * 2))
                 box.out_until = now + box.out_for * (0.75 + 0.5 * self.random())
-                box.out_for = min(EJECT_MOST, box.out_for * 2)
         elif outcome is Outcome.COMPLETED:
             box.failing = 0
             box.out_until = 0.0
-            box.out_for = EJECT_FOR
+            box.out_for = 0.0
         silent = outcome in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT, Outcome.RESET)
         time = latency / objective
         if silent or outcome is Outcome.ERROR:
             time = max(1.0, time)
         if silent or outcome is Outcome.COMPLETED:
-            self.pace.note(time, FIRST_TIME, now)
-            self.zones[box.zone].note(time, self.usual(now), now)
+            self.pace.note(time, USUAL_SMOOTH, FIRST_TIME, ZONE_FORGET, now)
+            self.zones[box.zone].note(time, SMOOTH, self.usual(now), ZONE_FORGET, now)
         if outcome in (Outcome.COMPLETED, Outcome.TIMEOUT, Outcome.ERROR):
-            box.pace.note(time, self.unknown(box, now), now)
+            box.pace.note(time, SMOOTH, self.unknown(box, now), FORGET, now)
 
     # The judge
 
--- /dev/null
+++ b/gullmount/state.py
@@ -0,0 +1,102 @@
+"""What is kept of tries, boxes and reqs, each as long as it lives; nothing here decides anything."""
+
+from __future__ import annotations
+
+from math import inf
+from typing import TYPE_CHECKING
+
+from gullmount.interface import BoxState, Listed, Outcome, Route
+
+if TYPE_CHECKING:
+    from gullmount.policy import Umpire
+
+
+class Pace:
+    """Time that tries take, in objectives, drawn back to what is usual while nothing is heard.
+
+    Guards against shunning for ever what was slow or silent once. Harm: what stays slow gets a try now and
+    then.
+    """
+
+    def __init__(self) -> None:
+        self.time = 0.0
+        self.told = -inf
+
+    def expected(self, usual: float, half_life: float, now: float) -> float:
+        return usual + (self.time - usual) * 0.5 ** ((now - self.told) / half_life)
+
+    def note(self, time: float, weight: float, usual: float, half_life: float, now: float) -> None:
+        self.time = self.expected(usual, half_life, now)
+        self.time += weight * (time - self.time)
+        self.told = now
+
+
+class Try:
+    """Lives as long as one upstream try."""
+
+    def __init__(self, box: Box, sent: float) -> None:
+        self.box = box
+        self.build = box.build
+        self.group = (box.zone, box.cell)
+        self.sent = sent
+        self.linked = box.linked_until > sent
+
+
+class Box:
+    """Lives as long as the box is listed."""
+
+    def __init__(self, line: Listed, order: float) -> None:
+        self.id = line.box
+        self.started = -1.0
+        self.order = order
+        self.open = 0
+        self.update(line, 0.0)
+
+    def update(self, line: Listed, now: float) -> None:
+        if line.build != getattr(self, "build", None) or line.started != self.started:
+            self.pace = Pace()
+            self.failing = 0
+            self.out_until = 0.0
+            self.out_for = 0.0
+            self.linked_until = 0.0
+            self.credit = self.order
+            self.credited = now
+        self.zone = line.zone
+        self.cell = line.cell
+        self.build = line.build
+        self.ready = line.state is BoxState.READY
+        self.power = line.power or 1.0
+        self.started = line.started
+
+    def age(self, now: float) -> float:
+        return now - self.started if self.started > 0 else now
+
+
+class Req:
+    """The handle of one taken req; lives until its last try has ended."""
+
+    def __init__(
+        self, umpire: Umpire, req_id: str, route: Route, give_up: float, key: str | None, place: float
+    ) -> None:
+        self.umpire = umpire
+        self.id = req_id
+        self.route = route
+        self.give_up = give_up
+        self.key = key
+        self.tries: list[Try] = []
+        self.open_tries: set[int] = set()
+        self.settled = False
+        self.group_of: tuple[str, int] | None = None  # zone and cell of the first try that may have run
+        self.group_until = 0.0
+        self.place = place
+
+    def ended(self, number: int, outcome: Outcome, latency: float, final: bool) -> None:
+        """A try ended; `final` says that the req is over, by this outcome or earlier."""
+        self.umpire.try_ended(self, number, outcome, latency, final)
+
+    def begun(self, number: int) -> None:
+        """A streamed answer has started: the rest of it belongs to the client."""
+
+    def left(self) -> None:
+        """The client left; nothing is owed any more."""
+        self.settled = True
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -18,7 +18,8 @@
     Route,
     Verdict,
 )
-from gullmount.policy import Req, Umpire
+from gullmount.policy import Umpire
+from gullmount.state import Req
 
 ROUTES = {
     "look": Route("look", 1.0, Repeats.RETRIABLE, Group.ALL, 0.0),
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -158,7 +158,7 @@
     bench.umpire.share = 0.5
     bench.umpire.widths[2].width, bench.umpire.widths[2].open = 0.0, 1
     reqs = [bench.take("look", f"k{number}") for number in range(40)]
-    assert {bool(req.tries) for req in reqs if req.hash < 0.5} == {False}
+    assert {bool(req.tries) for req in reqs if req.place < 0.5} == {False}
     assert all(box.startswith("a") for _, box, _ in bench.sends)
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from gullmount.interface import BoxState, Group, ListKind, Outcome, Phase, Repeats
-from gullmount.policy import Box, Req
+from gullmount.state import Box, Req
 from tests.helpers import ROUTES, Bench
 
 PROVES_UNRUN = {Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT}
@@ -124,7 +124,7 @@
         self.model.taken.append((self.bench.clock, route))
         req_id = f"r{self.bench.count + 1}"
         self.model.tries[req_id] = []
-        self.coming = Req(self.umpire, req_id, ROUTES[route], self.bench.clock + 6.0, key)
+        self.coming = Req(self.umpire, req_id, ROUTES[route], self.bench.clock + 6.0, key, 0.0)
         self.reqs.append(self.bench.take(route, key, 6.0))
 
     def burst(self, route: str, count: int) -> None:
