--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -11,10 +11,10 @@
 import random
 from collections import defaultdict, deque
 from collections.abc import Iterable, Sequence
-from hashlib import blake2b
 from math import ceil, e, log, sqrt
 from statistics import NormalDist, median
 
+from gullmount import samples
 from gullmount.interface import (
     BoxState,
     Grounds,
@@ -27,8 +27,8 @@
     Repeats,
     Verdict,
 )
-from gullmount.samples import Counts, Seen, Times, drop_before, merged, rank_surplus, sliced
-from gullmount.state import Box, Pace, Req, Try
+from gullmount.samples import Counts, Seen, Times, drop_before
+from gullmount.state import Box, Ledger, Pace, Req, Try
 
 # The split (design page)
 CAP_USE = 0.8  # of the cap; the rest is room for chance and further tries
@@ -39,7 +39,6 @@
 FAIL_MARGIN = 0.02  # failures more, as a share, that send a build back
 FAIL_LEAST = 3  # failures that must have been seen for that
 TALLY_Z = 3.0  # standard errors, also of tallies: all umpires are told the same and vote alike
-TALLY_BASE = 3  # tries of the earlier build that make a tally of a route count
 SPARE_BOXES = 0.25  # of the boxes, those that fail most, are left out: broken ones are fewer than that
 SLOW_RATIO = 1.5  # times the other build's median time that sends a build back
 SLOW_LEAST = 20  # outcomes that the median needs where one vote decides; many votes add up
@@ -67,7 +66,6 @@
 TOLD_LIFE = 4.0  # s that a told vote stands: longer, and false alarms of several moments add up
 ALONE_MORE = 2.0  # s more after which an umpire that saw clean outcomes no longer waits for the judges
 RECAST = 0.5  # s at most before a vote that got no good answer is cast again
-VOTES_USED = 0.8  # of the votes a second that are told
 
 # Health and waiting
 SMOOTH = 0.2  # weight of the newest outcome in a box's running time
@@ -83,7 +81,6 @@
 ZONE_FORGET = 10.0  # s in which half of what a zone's old times say is forgotten: a try there is a risk
 CHOICES = 3  # boxes drawn to choose among, at least: two are much better than one, more add little
 ALL_SEEN = 8.0  # umpires up to which each ranks all boxes: then its own tries tell how busy they are
-UNLINKED = 1.1  # times the wait of a box without an open connection: a handshake costs time and work
 LINK_SMOOTH = 0.2  # weight of the newest try without a connection in the share of those that get none
 LINK_FAILS = 0.15  # share from which on only boxes with an open connection are drawn: two new failures
 LINK_LOST = 0.05  # share from which on slowness is laid to lost boxes or links, not to the build
@@ -104,39 +101,17 @@
 RETRY_RATIO = 0.2  # further tries for each req taken: overload must not amplify
 RETRY_ROOM = 40.0  # further tries saved up at most by all umpires together; each at least one
 COME_BACK = 0.25  # s asked of a client that is shed: about the time a jam of one objective needs to move
-ASK_AGAIN = 1.0  # s before a list that refused is asked again; doubles, with jitter
-ASK_MOST = 4.0  # s
+ASK_AGAIN = 2.0  # s before a list that refused is asked again, half as much or more by chance
 RATE_OVER = 5.0  # s over which the rate of answers is taken; long enough for umpires with a few a second
 
 TAKEN_OFF = (Phase.GOING_BACK, Phase.WITHDRAWN)
 PROVES_UNRUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 
 
-def place(key: str) -> float:
-    """The key's stable number from 0 to 1, the same at every umpire and after every restart."""
-    return int.from_bytes(blake2b(key.encode(), digest_size=8).digest()) / 2**64
-
-
-class Ledger:
-    """Sends at one build on trial against the reqs taken, in the trailing window, for one count."""
-
-    def __init__(self) -> None:
-        self.reqs: deque[float] = deque()
-        self.sends: dict[int, deque[float]] = defaultdict(deque)
-
-    def room(self, build: int, cap: float, spare: float, since: float) -> bool:
-        sends = self.sends[build]
-        while self.reqs and self.reqs[0] <= since:
-            self.reqs.popleft()
-        drop_before(sends, since)
-        return len(sends) + 1 <= spare + cap * len(self.reqs)
-
-
 class Width:
     """How many tries an umpire may have out at the boxes of one build, for each box.
 
-    Guards against jams of any cause (too many reqs, too few or slow boxes, repeats by clients): once answers
-    come late more tries only make all later, and without a bound the jam outlives its cause. Also covers a
+    Guards against jams of any cause: once answers come late more tries only make all later. Also covers a
     build whose boxes are jammed alone. Harm: a route whose usual work comes near its objective is held back.
     """
 
@@ -163,9 +138,9 @@
 class Proof:
     """How much evidence a vote asks for, by the told numbers of umpires and of the votes that must stand.
 
-    Guards against many judges: each looks at little, and by chance some see a good build fail or a bad one
-    shine. Where many votes are needed weak evidence adds up; where one decides, peers' votes are pooled.
-    Harm: an umpire that alone sees a failure among very many is not believed.
+    Guards against many judges, of whom chance shows some a good build failing or a bad one shining: where
+    many votes are needed weak evidence adds up; where one decides, peers' votes are pooled. Harm: an umpire
+    that alone sees a failure among very many is not believed.
     """
 
     def __init__(self, grounds: Grounds) -> None:
@@ -181,7 +156,7 @@
         self.slow_least = max(SLOW_FEW, ceil(SLOW_LEAST / apart))
         self.fail_least = max(1, round(FAIL_LEAST / apart))
         life = TOLD_LIFE if self.pooled else release.vote_life
-        asked = 0.0 if self.pooled else many / release.votes_per_s / VOTES_USED
+        asked = 0.0 if self.pooled else many / release.votes_per_s
         late = max(life * RENEW, min(life * RENEW_LATE, asked))
         self.renew = {Verdict.BACK: life * RENEW, Verdict.ON: late}
 
@@ -205,19 +180,12 @@
         self.retries = self.retry_room
         least = min(WIDTH_LEAST, WIDTH_LEAST_ALL / grounds.umpires)
         self.widths: dict[int, Width] = defaultdict(lambda: Width(least))
-        self.ask_again = ASK_AGAIN
-        # What the last news said of the newest build
-        self.build = -1
-        self.stage = 0
-        self.phase = Phase.RELEASED
-        self.cap = self.release.caps[0]
-        # The split
+        self.build, self.stage, self.phase, self.cap = -1, 0, Phase.RELEASED, self.release.caps[0]
         self.ledgers: dict[str, Ledger] = defaultdict(Ledger)
         self.share = 0.0
         self.share_at = self.born
         self.met: dict[str, int] = {}
         self.failing: set[str] = set()
-        # The judge
         self.seen: dict[tuple[int, str], deque[Seen]] = defaultdict(deque)
         self.calm: Times = {}
         self.counts = Counts()
@@ -239,10 +207,8 @@
         """The list of boxes, or what changed in it."""
         now = self.host.now()
         if kind is ListKind.REFUSED:
-            self.host.call_after(self.ask_again * (0.5 + self.random()), self.host.subscribe)
-            self.ask_again = min(ASK_MOST, self.ask_again * 2)
+            self.host.call_after(ASK_AGAIN * (0.5 + self.random()), self.host.subscribe)
             return
-        self.ask_again = ASK_AGAIN
         if kind is ListKind.FULL:
             named = {line.box for line in lines}
             for box in [box for box in self.boxes.values() if box.id not in named]:
@@ -276,7 +242,7 @@
             self.slowed = 0.0
         if sum(map(len, self.calm.values())) < self.proof.slow_least:
             # An umpire started during the trial has no times from before: its first ones must do.
-            self.calm = self.recent(0.0)
+            self.calm = samples.times_since(self.seen, 0.0)
         if phase in TAKEN_OFF:
             self.met = {key: met for key, met in self.met.items() if met != build}
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
@@ -284,7 +250,7 @@
 
     def tallied(self, build: int, route: str, tries: int, lost: int, time: float, age: float) -> None:
         """The platform's count of tries at one build on one route; the same reaches all umpires."""
-        if build < self.build and tries >= TALLY_BASE:
+        if build < self.build and tries >= BASE_LEAST:
             self.base_counts[route] = tries, lost, time
         elif build == self.build and self.phase is Phase.ON_TRIAL and tries and route in self.base_counts:
             then = self.host.now() - age - self.release.tally_period / 2
@@ -309,7 +275,7 @@
 
     def take(self, req_id: str, route: str, give_up: float, key: str | None) -> Req:
         now = self.host.now()
-        req = Req(self, req_id, self.grounds.routes[route], give_up, key, place(key or req_id))
+        req = Req(self, req_id, self.grounds.routes[route], give_up, key, samples.place(key or req_id))
         ledger = self.ledger(req)
         ledger.reqs.append(now)
         drop_before(ledger.reqs, now - self.release.window)
@@ -348,25 +314,21 @@
     def advance(self, req: Req) -> None:
         """Send the req on, or end it at once: a req that is given up is never sat on."""
         now = self.host.now()
-        box = None
         # Guards against work for clients that will have left: retries without patience, jams, late reqs.
         hopeful = req.give_up - now > HOPE * self.usual(now) * req.route.objective
-        if hopeful and (not req.tries or self.retries >= 1):
-            box = self.pick(req, now)
+        box = self.pick(req, now) if hopeful and (not req.tries or self.retries >= 1) else None
+        req.settled = box is None
         if box is not None:
             self.send(req, box, now)
         elif self.may_shed(req):
-            req.settled = True
             self.host.shed(req.id, min(COME_BACK, self.grounds.max_retry_after))
         else:
-            req.settled = True
             self.host.error(req.id)
 
     def send(self, req: Req, box: Box, now: float) -> None:
         if req.tries:
             self.retries -= 1
-        left = req.give_up - now
-        patience = left
+        patience = left = req.give_up - now
         could_follow = req.route.repeats is not Repeats.NON_RETRIABLE
         if could_follow and len(req.tries) + 1 < self.grounds.max_tries and self.usual(now) < JAMMED:
             patience = max(left / 2, min(left, TRY_OBJECTIVE * req.route.objective))
@@ -419,8 +381,8 @@
         stage = 0 if unannounced else self.stage
         if cap <= 0 or (stage < self.release.closed_stages and req.route.repeats is not Repeats.RETRIABLE):
             return False
-        since = now - self.release.window
-        return self.ledger(req).room(box.build, cap, self.release.spare_tries, since)
+        sends, reqs = self.ledger(req).counts(box.build, now - self.release.window)
+        return sends + 1 <= self.release.spare_tries + cap * reqs
 
     def warmth(self, box: Box, now: float) -> float:
         """The least share of its capacity that the box can have by now."""
@@ -430,9 +392,8 @@
     def warm_enough(self, box: Box, now: float) -> bool:
         """Slow start: a cold box gets at most its warmth's part of what a usual box gets from this umpire.
 
-        Other umpires do the same by their own traffic, so together they stay below the multiple that tips.
-        Counted by answers, not reqs taken: in a jam clients repeat themselves and an idle cold box looks
-        best to all at once. Harm: after a jam a box that returns is filled slowly.
+        Others do the same by their own traffic, so the sum stays below the multiple that tips. Counted by
+        answers, not reqs taken: in a jam clients repeat themselves. Harm: after a jam boxes fill slowly.
         """
         warmth = self.warmth(box, now)
         if warmth >= 1:
@@ -458,10 +419,7 @@
         return [box for rev, pool in self.pools.items() if self.on_trial(rev) is on_trial for box in pool]
 
     def update_share(self, now: float) -> None:
-        """The share moves toward 0.8 of the cap, over the ramp, as far as the listed boxes can carry it.
-
-        It falls only with the cap: a key that met the new build stays there, whatever its boxes suffer.
-        """
+        """Toward 0.8 of the cap, over the ramp, as far as the boxes carry it; it falls only with the cap."""
         trial = self.ready(True)
         cap = self.cap if any(box.build == self.build for box in trial) else self.release.caps[0]
         aim = CAP_USE * cap
@@ -476,9 +434,8 @@
     def pick(self, req: Req, now: float) -> Box | None:
         """The box for the req's next try: the hash picks the build, the shortest expected wait the box.
 
-        An umpire knows a box by its own part of the traffic: among many umpires each ranks only a few boxes
-        drawn by chance. Guards against all of them ranking alike, which fills one zone or the boxes not yet
-        tried, and costs less. Harm: a busy umpire among many sees less than it could.
+        Among many umpires each ranks only a few boxes drawn by chance: it knows little of them. Guards
+        against all ranking alike, which fills one zone. Harm: a busy umpire sees less than it could.
         """
         wants_trial = req.place < self.share and req.route.name not in self.failing
         if req.tries and self.on_trial(req.tries[-1].build):
@@ -503,10 +460,10 @@
         paces = {zone: pace.expected(usual, ZONE_FORGET, now) for zone, pace in self.zones.items()}
         slow = {zone for zone, pace in paces.items() if pace > ZONE_SLOW * min(paces.values())}
         if choices < len(pool):
-            pool = [box for box in pool if box.zone not in slow] or pool
+            near = [box for box in pool if box.zone not in slow] or pool
             if self.link_fails > LINK_FAILS:
-                pool = [box for box in pool if box.linked_until > now] or pool
-            drawn = [pool[int(self.random() * len(pool))] for _ in range(choices)]
+                near = [box for box in near if box.linked_until > now] or near
+            drawn = [near[int(self.random() * len(near))] for _ in range(choices)]
             good = [box for box in drawn if usable(box) and self.allowed(req, box, now)]
             if good:
                 return min(good, key=cost)
@@ -523,30 +480,26 @@
 
     def wait(self, box: Box, now: float) -> float:
         far = (1.0 if box.zone == self.grounds.zone else FAR) * (1 + SPREAD * self.random())
-        far *= 1.0 if box.linked_until > now else UNLINKED
         pace = box.pace.expected(self.unknown(box, now), FORGET, now)
         return far * (box.open + 1) * pace / (box.power * self.warmth(box, now))
 
     def note_health(self, box: Box, outcome: Outcome, latency: float, objective: float, now: float) -> None:
         """Failures in a row take a box out; an error counts as an answer that took the whole objective.
 
-        Guards against a box that fails fast: it looks idle and quick, and draws the keys of all the others.
-        Covers any box that answers much worse than its peers. Harm: a build that errs on one route has its
-        boxes avoided for other routes too, until the judge has it sent back.
+        Guards against a box that fails fast, looks idle and draws all keys, and others worse than their peers.
+        Harm: a build that errs on one route has its boxes avoided for other routes too.
         """
-        if outcome in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT, Outcome.RESET, Outcome.ERROR):
+        silent = outcome in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT, Outcome.RESET)
+        time = latency / objective
+        if silent or outcome is Outcome.ERROR:
+            time = max(1.0, time)
             box.failing += 1
             if box.failing >= EJECT_AFTER and box.out_until <= now:
                 box.out_for = min(EJECT_MOST, max(EJECT_FOR, box.out_for * 2))
                 box.out_until = now + box.out_for * (0.75 + 0.5 * self.random())
         elif outcome is Outcome.COMPLETED:
             box.failing = 0
-            box.out_until = 0.0
-            box.out_for = 0.0
-        silent = outcome in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT, Outcome.RESET)
-        time = latency / objective
-        if silent or outcome is Outcome.ERROR:
-            time = max(1.0, time)
+            box.out_until = box.out_for = 0.0
         if silent or outcome is Outcome.COMPLETED:
             self.pace.note(time, USUAL_SMOOTH, FIRST_TIME, ZONE_FORGET, now)
             self.zones[box.zone].note(time, SMOOTH, self.usual(now), ZONE_FORGET, now)
@@ -581,18 +534,19 @@
         span = max(SLICE, SLICE_NEEDS / rate) if self.proof.many else SLICE
         cands = {route: self.seen.get((self.build, route), ()) for route in self.grounds.routes}
         since = min((cand[0].at for cand in cands.values() if cand), default=now) - span
-        bases = {route: self.earlier(route, since) for route in cands}
+        bases = {route: samples.of_earlier(self.seen, self.build, route, since) for route in cands}
         least = self.proof.fail_least
         worse = {route for route, cand in cands.items() if self.fails_more(cand, bases[route], least)}
         self.failing |= worse
+        recent = samples.times_since(self.seen, now - 2 * span)
         # Cold boxes take capacity away: as much slowness is not the build's.
-        excess = log(self.slowness(self.recent(now - 2 * span), self.calm) * self.warm_part / SHARED_RATIO)
+        excess = log(self.slowness(recent, self.calm) * self.warm_part / SHARED_RATIO)
         if self.link_fails > LINK_LOST:
             excess = min(0.0, excess)  # lost boxes or links slow the others, whatever the build
         weight = self.share if self.phase is Phase.ON_TRIAL else RELEASED_WEIGHT
         self.slowed = max(0.0, self.slowed + excess * weight * JUDGE_EVERY)
         shared = self.slowed >= self.proof.slowed
-        slow = self.slowness(sliced(cands, span), sliced(bases, span)) > SLOW_RATIO
+        slow = self.slowness(samples.sliced(cands, span), samples.sliced(bases, span)) > SLOW_RATIO
         counted = self.tally_worse()
         if worse or slow or counted or (shared and new):
             why = f"failing {sorted(worse)}, slow {slow}, tallies {counted}, all slow {shared}"
@@ -612,56 +566,26 @@
                 self.cast(Verdict.ON, now, f"clean {clean}, failed {failures}", alone)
 
     def slowness(self, cands: Times, bases: Times) -> float:
-        """How many times slower `cands` are than `bases`, all routes and slices weighed together; 1 in doubt.
-
-        One umpire sees few of each route early in a trial; relative to the base's median they add up.
-        """
+        """How many times slower `cands` are than `bases`, all routes and slices together; 1 in doubt."""
         if self.proof.many:
-            cands, bases = merged(cands), merged(bases)
+            cands, bases = samples.merged(cands), samples.merged(bases)
         if sum(map(len, cands.values())) < self.proof.slow_least:
             return 1.0
-        ratios: list[float] = []
-        surplus = variance = 0.0
-        for part, cand in cands.items():
-            base = bases.get(part, ())
-            if len(base) >= BASE_LEAST:
-                usual = median(base)
-                ratios += [time / usual for time in cand]
-                wins, spread = rank_surplus(cand, base)
-                surplus += wins
-                variance += spread
+        ratios, surplus, variance = samples.ranked(cands, bases, BASE_LEAST)
         sure = len(ratios) >= self.proof.slow_least and surplus > self.proof.least_z * sqrt(variance)
         return median(ratios) if sure else 1.0
 
-    def earlier(self, route: str, since: float) -> list[Seen]:
-        """Outcomes of the earlier builds on the route since then: the same seconds as the newest's."""
-        return [
-            seen for (build, name), outcomes in self.seen.items() if build < self.build and name == route
-            for seen in outcomes if seen.at >= since
-        ]
-
-    def recent(self, since: float) -> Times:
-        """Times on each route since then, whatever the build, but of warm boxes only."""
-        times: Times = defaultdict(list)
-        for (_, route), outcomes in self.seen.items():
-            times[route, 0] += [one.time for one in outcomes if one.at >= since and one.time >= 0]
-        return times
-
     def fails_more(self, cand: Sequence[Seen], base: Sequence[Seen], least: int) -> bool:
         """Whether the newest build fails more, even without the boxes that fail most.
 
-        Guards against a few broken boxes that convict a good build. Covers any trouble of single boxes.
-        Harm: a build that fails only at its oldest boxes is seen a little later.
+        Guards against a few broken boxes that convict a good build. Harm: a build that fails only at its
+        oldest boxes is seen a little later.
         """
         if sum(seen.failed for seen in cand) < least:
             return False
-        boxes: dict[str, list[int]] = defaultdict(lambda: [0, 0])
-        for seen in cand:
-            boxes[seen.box][0] += seen.failed
-            boxes[seen.box][1] += 1
-        rounded = ceil if self.proof.fail_least > 1 and len(boxes) > 1 else int
-        spared = rounded(len(boxes) * SPARE_BOXES)
-        counts = sorted(boxes.values(), key=lambda count: -count[0])[spared:]
+        counts = samples.by_box(cand)
+        rounded = ceil if self.proof.fail_least > 1 and len(counts) > 1 else int
+        counts = counts[rounded(len(counts) * SPARE_BOXES):]
         failed = sum(failures for failures, _ in counts)
         base_share = sum(seen.failed for seen in base) / len(base) if base else 0.0
         return failed >= least and failed / sum(total for _, total in counts) > base_share + FAIL_MARGIN
--- a/gullmount/samples.py
+++ b/gullmount/samples.py
@@ -5,6 +5,8 @@
 from bisect import bisect_left, bisect_right
 from collections import defaultdict, deque
 from collections.abc import Iterable, Mapping, Sequence
+from hashlib import blake2b
+from statistics import median
 from typing import NamedTuple
 
 Times = dict[tuple[str, int], list[float]]  # by route and slice
@@ -19,11 +21,19 @@
     box: str
 
 
+Outcomes = Mapping[tuple[int, str], Iterable[Seen]]  # by build and route
+
+
 def drop_before(times: deque[float], since: float) -> None:
     while times and times[0] < since:
         times.popleft()
 
 
+def place(key: str) -> float:
+    """The key's stable number from 0 to 1, the same at every umpire and after every restart."""
+    return int.from_bytes(blake2b(key.encode(), digest_size=8).digest()) / 2**64
+
+
 def rank_surplus(high: Sequence[float], low: Sequence[float]) -> tuple[float, float]:
     """By how many pairs `high` ranks above `low` beyond chance, and that count's variance (Mann-Whitney)."""
     ordered = sorted(low)
@@ -50,6 +60,47 @@
     return times
 
 
+def ranked(cands: Times, bases: Times, least: int) -> tuple[list[float], float, float]:
+    """Times over the base's median of the same part, and the rank test summed over all parts."""
+    ratios: list[float] = []
+    surplus = variance = 0.0
+    for part, cand in cands.items():
+        base = bases.get(part, ())
+        if len(base) >= least:
+            usual = median(base)
+            ratios += [time / usual for time in cand]
+            wins, spread = rank_surplus(cand, base)
+            surplus += wins
+            variance += spread
+    return ratios, surplus, variance
+
+
+def of_earlier(seen: Outcomes, build: int, route: str, since: float) -> list[Seen]:
+    """Outcomes of builds before this one on the route since then."""
+    return [
+        one for (rev, name), outcomes in seen.items() if rev < build and name == route
+        for one in outcomes if one.at >= since
+    ]
+
+
+def times_since(seen: Outcomes, since: float) -> Times:
+    """Times on each route since then, whatever the build."""
+    times: Times = defaultdict(list)
+    for (_, route), outcomes in seen.items():
+        times[route, 0] += [one.time for one in outcomes if one.at >= since and one.time >= 0]
+    return times
+
+
+def by_box(seen: Iterable[Seen]) -> list[tuple[int, int]]:
+    """Failures and outcomes of each box, those that fail most first."""
+    failures: dict[str, int] = defaultdict(int)
+    totals: dict[str, int] = defaultdict(int)
+    for one in seen:
+        failures[one.box] += one.failed
+        totals[one.box] += 1
+    return sorted(((failures[box], totals[box]) for box in totals), key=lambda count: -count[0])
+
+
 class Counts:
     """Sums over the tallies of one trial: what its tries took and lost, and what the others' would have."""
 
--- a/gullmount/state.py
+++ b/gullmount/state.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections import defaultdict, deque
 from math import inf
 from typing import TYPE_CHECKING
 
 from gullmount.interface import BoxState, Listed, Outcome, Route
+from gullmount.samples import drop_before
 
 if TYPE_CHECKING:
     from gullmount.policy import Umpire
@@ -100,3 +102,19 @@
     def left(self) -> None:
         """The client left; nothing is owed any more."""
         self.settled = True
+
+
+class Ledger:
+    """Sends at builds against the reqs taken, for one count."""
+
+    def __init__(self) -> None:
+        self.reqs: deque[float] = deque()
+        self.sends: dict[int, deque[float]] = defaultdict(deque)
+
+    def counts(self, build: int, since: float) -> tuple[int, int]:
+        """Sends at the build and reqs taken since then; a send of just then still counts, a req does not."""
+        sends = self.sends[build]
+        while self.reqs and self.reqs[0] <= since:
+            self.reqs.popleft()
+        drop_before(sends, since)
+        return len(sends), len(self.reqs)
