--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -39,7 +39,7 @@
 FAIL_MARGIN = 0.02  # failures more, as a share, that send a build back
 FAIL_LEAST = 3  # failures that must have been seen for that
 TALLY_Z = 3.0  # standard errors, also of tallies: all umpires are told the same and vote alike
-SPARE_BOXES = 0.25  # of the boxes, those that fail most, are left out: broken ones are fewer than that
+SPARE_BOXES = 0.25  # of the boxes, those that fail most or are slowest, are left out: most troubles hit fewer
 SLOW_RATIO = 1.5  # times the other build's median time that sends a build back
 SLOW_LEAST = 20  # outcomes that the median needs where one vote decides; many votes add up
 SLOW_FEW = 2  # outcomes that it always needs
@@ -160,6 +160,10 @@
         late = max(life * RENEW, min(life * RENEW_LATE, asked))
         self.renew = {Verdict.BACK: life * RENEW, Verdict.ON: late}
 
+    def spared(self, boxes: int) -> int:
+        """How many of so many boxes are left out: broken or crowded ones must not convict a build."""
+        return (int if self.many or boxes <= 1 else ceil)(boxes * SPARE_BOXES)
+
 
 class Umpire:
     """Lives as long as the instance."""
@@ -486,7 +490,7 @@
     def note_health(self, box: Box, outcome: Outcome, latency: float, objective: float, now: float) -> None:
         """Failures in a row take a box out; an error counts as an answer that took the whole objective.
 
-        Guards against a box that fails fast, looks idle and draws all keys, and others worse than their peers.
+        Guards against a box that fails fast and so looks idle; covers any that is far worse than its peers.
         Harm: a build that errs on one route has its boxes avoided for other routes too.
         """
         silent = outcome in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT, Outcome.RESET)
@@ -546,7 +550,8 @@
         weight = self.share if self.phase is Phase.ON_TRIAL else RELEASED_WEIGHT
         self.slowed = max(0.0, self.slowed + excess * weight * JUDGE_EVERY)
         shared = self.slowed >= self.proof.slowed
-        slow = self.slowness(samples.sliced(cands, span), samples.sliced(bases, span)) > SLOW_RATIO
+        whole = (samples.without_slowest(side, self.proof.spared) for side in (cands, bases))
+        slow = self.slowness(*(samples.sliced(side, span) for side in whole)) > SLOW_RATIO
         counted = self.tally_worse()
         if worse or slow or counted or (shared and new):
             why = f"failing {sorted(worse)}, slow {slow}, tallies {counted}, all slow {shared}"
@@ -578,14 +583,12 @@
     def fails_more(self, cand: Sequence[Seen], base: Sequence[Seen], least: int) -> bool:
         """Whether the newest build fails more, even without the boxes that fail most.
 
-        Guards against a few broken boxes that convict a good build. Harm: a build that fails only at its
-        oldest boxes is seen a little later.
+        Harm: a build that fails only at its oldest boxes is seen a little later.
         """
         if sum(seen.failed for seen in cand) < least:
             return False
         counts = samples.by_box(cand)
-        rounded = ceil if self.proof.fail_least > 1 and len(counts) > 1 else int
-        counts = counts[rounded(len(counts) * SPARE_BOXES):]
+        counts = counts[self.proof.spared(len(counts)):]
         failed = sum(failures for failures, _ in counts)
         base_share = sum(seen.failed for seen in base) / len(base) if base else 0.0
         return failed >= least and failed / sum(total for _, total in counts) > base_share + FAIL_MARGIN
--- a/gullmount/samples.py
+++ b/gullmount/samples.py
@@ -4,9 +4,9 @@
 
 from bisect import bisect_left, bisect_right
 from collections import defaultdict, deque
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from hashlib import blake2b
-from statistics import median
+from statistics import fmean, median
 from typing import NamedTuple
 
 Times = dict[tuple[str, int], list[float]]  # by route and slice
@@ -101,6 +101,19 @@
     return sorted(((failures[box], totals[box]) for box in totals), key=lambda count: -count[0])
 
 
+def without_slowest(
+    outcomes: Mapping[str, Sequence[Seen]], spare: Callable[[int], int]
+) -> dict[str, list[Seen]]:
+    """The outcomes less those of the boxes with the longest mean times, as many as `spare` says."""
+    times: dict[str, list[float]] = defaultdict(list)
+    for seen in outcomes.values():
+        for one in seen:
+            if one.time >= 0:
+                times[one.box].append(one.time)
+    slowest = sorted(times, key=lambda box: -fmean(times[box]))[:spare(len(times))]
+    return {route: [one for one in seen if one.box not in slowest] for route, seen in outcomes.items()}
+
+
 class Counts:
     """Sums over the tallies of one trial: what its tries took and lost, and what the others' would have."""
 
