--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -280,9 +280,7 @@
     def take(self, req_id: str, route: str, give_up: float, key: str | None) -> Req:
         now = self.host.now()
         req = Req(self, req_id, self.grounds.routes[route], give_up, key, samples.place(key or req_id))
-        ledger = self.ledger(req)
-        ledger.reqs.append(now)
-        drop_before(ledger.reqs, now - self.release.window)
+        self.ledger(req).took(now, now - self.release.window)
         self.retries = min(self.retry_room, self.retries + RETRY_RATIO)
         self.advance(req)
         return req
@@ -336,9 +334,7 @@
         could_follow = req.route.repeats is not Repeats.NON_RETRIABLE
         if could_follow and len(req.tries) + 1 < self.grounds.max_tries and self.usual(now) < JAMMED:
             patience = max(left / 2, min(left, TRY_OBJECTIVE * req.route.objective))
-        sends = self.ledger(req).sends[box.build]
-        sends.append(now)
-        drop_before(sends, now - self.release.window)
+        self.ledger(req).sent(box.build, now, now - self.release.window)
         box.credit -= 1
         box.open += 1
         self.widths[box.build].open += 1
--- a/gullmount/state.py
+++ b/gullmount/state.py
@@ -111,6 +111,14 @@
         self.reqs: deque[float] = deque()
         self.sends: dict[int, deque[float]] = defaultdict(deque)
 
+    def took(self, now: float, since: float) -> None:
+        self.reqs.append(now)
+        drop_before(self.reqs, since)
+
+    def sent(self, build: int, now: float, since: float) -> None:
+        self.sends[build].append(now)
+        drop_before(self.sends[build], since)
+
     def counts(self, build: int, since: float) -> tuple[int, int]:
         """Sends at the build and reqs taken since then; a send of just then still counts, a req does not."""
         sends = self.sends[build]
