--- a/gullmount/state.py
+++ b/gullmount/state.py
@@ -47,12 +47,12 @@
 class Box:
     """Lives as long as the box is listed."""
 
-    def __init__(self, line: Listed, order: float) -> None:
+    def __init__(self, line: Listed, order: float, now: float) -> None:
         self.id = line.box
         self.started = -1.0
         self.order = order
         self.open = 0
-        self.update(line, 0.0)
+        self.update(line, now)
 
     def update(self, line: Listed, now: float) -> None:
         if line.build != getattr(self, "build", None) or line.started != self.started:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -120,6 +120,19 @@
     assert sum(box == "a9" for _, box, _ in bench.sends) == 0
 
 
+def test_new_cold_box_gets_no_free_try_from_each_umpire() -> None:
+    """81 of 172 umpires sent one req each to a box in the moment it was listed, and it fell over."""
+    for seed in range(20):
+        bench = Bench(max_tries=1, umpires=172, seed=seed)
+        bench.list_boxes({"a0": 1})
+        for _ in range(10):
+            bench.finish(bench.take())
+            bench.pass_time(0.5)
+        bench.list_boxes({f"b{n}": 1 for n in range(8)}, ListKind.CHANGES, started=bench.clock)
+        bench.finish(bench.take())
+        assert bench.sends[-1][1] == "a0"
+
+
 def test_late_answers_narrow_the_bound_and_good_ones_widen_it() -> None:
     bench = Bench(max_tries=1)
     bench.list_boxes(EARLIER)
