--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -84,7 +84,6 @@
 LINK_SMOOTH = 0.2  # weight of the newest try without a connection in the share of those that get none
 LINK_FAILS = 0.15  # share from which on only boxes with an open connection are drawn: two new failures
 LINK_LOST = 0.05  # share from which on slowness is laid to lost boxes or links, not to the build
-COLD_CROWD = 0.5  # of what few umpires may send a cold box: many do not take turns, their sends bunch
 SPREAD = 0.1  # of a box's cost by chance, so that umpires alike in all do not choose alike
 FAR = 1.3  # times the wait of a box in another zone: crossing has a price, idle boxes there are worth it
 FORGET = 3.0  # s in which half of what a box's old times say is forgotten, so that it is tried again
@@ -401,8 +400,7 @@
             return True
         rate = len(self.answered) / max(1.0, min(RATE_OVER, now - self.born))
         usual = rate / sum(map(len, self.pools.values()))
-        crowd = max(COLD_CROWD, min(1.0, ALL_SEEN / self.grounds.umpires))
-        earned = (now - box.credited) * usual * warmth * crowd * self.grounds.tip_multiple / 2
+        earned = (now - box.credited) * usual * warmth * self.grounds.tip_multiple / 2
         box.credit = min(1.0, box.credit + earned)
         box.credited = now
         return box.credit >= 1
