--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -62,9 +62,22 @@
     ([SYNC, SPAWN, PAGE, FLEET, TAKE, {**RESULT, "Disposition": 999}], ["Result", "Disposition"]),
     ([SYNC, SPAWN, {**FLEET, "Buffer": 5}], ["Fleet", "Buffer"]),
     ([SYNC, TAKE], ["NewRequest", "Who"]),
+    ([SYNC, SPAWN, {"verb": "Tally", "Who": 3, "Grade": "g", "Ver": 1, "N": "many"}], ["Tally", "N"]),
     ([[1]], ["verb"]),
 ])
 def test_malformed_line_names_verb_and_field(events: list, words: list[str]) -> None:
     with pytest.raises(Malformed) as caught:
         run(*events, GO)
     assert all(word in str(caught.value) for word in words)
+
+
+@pytest.mark.parametrize("text", ["", "hi 7", "42 1 9", "-1 0 3", "42 1 3 3", "\u0664\u0662 1 3", "9" * 200])
+def test_peer_text_that_is_no_vote_is_dropped(text: str) -> None:
+    assert run(SYNC, SPAWN, {"verb": "NoteFrom", "Who": 3, "Neighbour": 1, "Msg": text}, GO)
+
+
+def test_peer_vote_and_tally_are_read() -> None:
+    told = {"verb": "NoteFrom", "Who": 3, "Neighbour": 1, "Msg": "42 1 3"}
+    tally = {"verb": "Tally", "Who": 3, "Grade": "g", "Ver": 2, "N": 0, "Lost": 0, "CostTimeUs": 0,
+             "AgeUs": 9}
+    assert run(SYNC, SPAWN, told, tally, GO)[-1] == {"verb": "Yield"}
