--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -39,6 +39,7 @@
 FAIL_MARGIN = 0.02  # failures more, as a share, that send a build back
 FAIL_LEAST = 3  # failures that must have been seen for that
 TALLY_Z = 3.0  # standard errors, also of tallies: all umpires are told the same and vote alike
+LOST_MARGIN = 0.1  # more lost, as a share: tallies do not tell errors from what cold boxes were too slow for
 SPARE_BOXES = 0.25  # of the boxes, those that fail most or are slowest, are left out: most troubles hit fewer
 SLOW_RATIO = 1.5  # times the other build's median time that sends a build back
 SLOW_LEAST = 20  # outcomes that the median needs where one vote decides; many votes add up
@@ -193,7 +194,7 @@
         self.seen: dict[tuple[int, str], deque[Seen]] = defaultdict(deque)
         self.calm: Times = {}
         self.counts = Counts()
-        self.base_counts: dict[str, tuple[int, float]] = {}
+        self.base_counts: dict[str, tuple[int, int, float]] = {}
         self.slowed = 0.0
         self.warm_part = 1.0  # of the capacity of all ready boxes
         self.released_at = 0.0
@@ -255,7 +256,7 @@
     def tallied(self, build: int, route: str, tries: int, lost: int, time: float, age: float) -> None:
         """The platform's count of tries at one build on one route; the same reaches all umpires."""
         if build < self.build and tries >= BASE_LEAST:
-            self.base_counts[route] = tries, time
+            self.base_counts[route] = tries, lost, time
         elif build == self.build and self.phase is Phase.ON_TRIAL and tries and route in self.base_counts:
             then = self.host.now() - age - self.release.tally_period / 2
             warmths = [self.warmth(box, then) for box in self.ready(True) if box.age(then) > 0]
@@ -267,8 +268,9 @@
         if not counts.time or not counts.usual_time:
             return False
         error = TALLY_Z * sqrt(1 / counts.tries + 1 / counts.base_tries)
-        # Tries lost say nothing here: tallies do not tell errors from what cold boxes were too slow for.
-        return log(counts.time / counts.usual_time) > max(log(SLOW_RATIO), error)
+        slow = log(counts.time / counts.usual_time) > max(log(SLOW_RATIO), error)
+        margin = max(LOST_MARGIN * counts.tries, TALLY_Z * sqrt(counts.usual_lost + 1))
+        return slow or counts.lost - counts.usual_lost >= margin
 
     def vote_failed(self) -> None:
         """The last vote got no good answer: a later look casts it again, not all umpires in step."""
--- a/gullmount/samples.py
+++ b/gullmount/samples.py
@@ -115,15 +115,18 @@
 
 
 class Counts:
-    """Sums over the tallies of one trial: what its tries took, and what the others' would have."""
+    """Sums over the tallies of one trial: what its tries took and lost, and what the others' would have."""
 
     def __init__(self) -> None:
         self.tries = self.base_tries = 0
         self.time = self.usual_time = 0.0
+        self.lost = self.usual_lost = 0.0
 
-    def add(self, tries: int, lost: int, time: float, base: tuple[int, float]) -> None:
-        base_tries, base_time = base
+    def add(self, tries: int, lost: int, time: float, base: tuple[int, int, float]) -> None:
+        base_tries, base_lost, base_time = base
         self.tries += tries
         self.base_tries += base_tries
         self.time += (tries - lost) * time
         self.usual_time += (tries - lost) * base_time
+        self.lost += lost
+        self.usual_lost += tries * base_lost / base_tries
