--- a/gullmount/__init__.py
+++ b/gullmount/__init__.py
@@ -1,1 +1,3 @@
-"""gullmount: a proxy that tries out new builds on live traffic."""
+"""A release controller and the router that moves live traffic between builds."""
+
+__version__ = "0.2.0"
--- /dev/null
+++ b/gullmount/__main__.py
@@ -0,0 +1,4 @@
+from gullmount.cli import main
+
+if __name__ == "__main__":
+    main(prog_name="gullmount")
--- a/gullmount/benchlink/link.py
+++ b/gullmount/benchlink/link.py
@@ -7,7 +7,7 @@
 
 import json
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, BinaryIO, ClassVar
 
 from gullmount.interface import (
@@ -26,6 +26,7 @@
 from gullmount.policy import Umpire
 from gullmount.state import Req
 
+SHOWN = 200  # characters of a faulty line that are shown
 MICRO = 1e6  # microseconds in a second, the wire's unit of time
 
 OUTCOMES = {
@@ -77,8 +78,9 @@
     "ProbeResult": {"Who": int},
     "ReportedWrong": {"Who": int},
 }
-STATE_FIELDS = {"Ver": int, "Step": int, "WhereAt": int, "Allowed": NUMBER}  # valid only in an ok state
-ENTRY_FIELDS = {
+Fields = dict[str, type | tuple[type, ...]]
+STATE_FIELDS: Fields = {"Ver": int, "Step": int, "WhereAt": int, "Allowed": NUMBER}  # valid in an ok state only
+ENTRY_FIELDS: Fields = {
     "Box": str, "Zone": str, "Bay": int, "Build": int, "Availability": str, "PowerHint": NUMBER,
     "LastStartUs": MAYBE_INT,
 }
@@ -88,13 +90,17 @@
     """A line that does not follow the wire; the text names its verb and field."""
 
 
-def check(verb: str, event: dict[str, Any], fields: dict[str, type | tuple[type, ...]]) -> None:
+def check(verb: str, event: Any, fields: Mapping[str, type | tuple[type, ...]]) -> None:
+    if not isinstance(event, dict):
+        raise Malformed(f"{verb}: an entry is no object: {event!r}"[:SHOWN])
     for field, kind in fields.items():
-        if not isinstance(event.get(field), kind):
+        value = event.get(field)
+        # JSON's true is no number, though Python counts it as one.
+        if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
             raise Malformed(f"{verb}: field {field} is missing or wrong: {event.get(field)!r}")
 
 
-def look_up(table: dict[Any, Any], verb: str, event: dict[str, Any], field: str) -> Any:
+def look_up(table: Mapping[Any, Any], verb: str, event: dict[str, Any], field: str) -> Any:
     value = event[field]
     if value not in table:
         raise Malformed(f"{verb}: field {field} has no such value: {value!r}")
@@ -333,6 +339,8 @@
             event = json.loads(line)
         except ValueError as fault:
             raise Malformed(f"line is not JSON: {fault}") from None
+        except RecursionError:
+            raise Malformed("line is not JSON that can be read: nested too deep") from None
         if not isinstance(event, dict) or not isinstance(event.get("verb"), str):
             raise Malformed("line has no field verb")
         if event["verb"] == "Go":
--- /dev/null
+++ b/gullmount/cli.py
@@ -0,0 +1,204 @@
+"""The command line: a thin shell over the library."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import sys
+from dataclasses import asdict
+from pathlib import Path
+from typing import Any
+
+import anyio
+import click
+import structlog
+from rich.console import Console
+from rich.table import Table
+
+from gullmount import __version__
+from gullmount.checker import Finding, Summary, check, summarize
+from gullmount.days import run as days
+from gullmount.days.terms import DayTerms
+from gullmount.net import TcpNet
+from gullmount.standins import record
+from gullmount.umpire import FileMemory, RunningUmpire, UmpireTerms
+from gullmount.yamlfile import BadFile, read
+
+BAD_INPUT = 2  # exit code where a file or an argument is wrong
+BROKEN = 1  # exit code where a rule was broken
+SHOWN = 10  # breaches shown of one rule
+
+Path_ = click.Path(path_type=Path)
+
+
+def loaded(path: Path, model: Any) -> Any:
+    try:
+        return read(path, model)
+    except BadFile as fault:
+        click.echo(str(fault), err=True)
+        sys.exit(BAD_INPUT)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, prog_name="gullmount")
+def main() -> None:
+    """Routes reqs between builds and votes on releases.
+
+    \b
+    gullmount day run days/bad-saturday.yaml --virtual   plays a whole bad day in a minute
+    gullmount check umpire.yaml                          says what is wrong with a file
+    gullmount umpire umpire.yaml                         runs one umpire
+    """
+
+
+@main.command("check")
+@click.argument("file", type=Path_)
+@click.option("--json", "as_json", is_flag=True, help="Say it as JSON.")
+def check_file(file: Path, as_json: bool) -> None:
+    """Validate an umpire's FILE without starting it. Exit code 2 if it is no good."""
+    terms = loaded(file, UmpireTerms)
+    if as_json:
+        click.echo(terms.model_dump_json(indent=1))
+    else:
+        click.echo(f"{file}: umpire {terms.number} of {terms.of}, {len(terms.routes)} routes, sound")
+
+
+@main.command()
+@click.argument("file", type=Path_)
+def umpire(file: Path) -> None:
+    """Run the umpire that FILE describes, until SIGTERM or SIGINT; logs go to standard error as JSON lines.
+
+    On the signal it takes nothing more, gives each taken req its final answer, and exits with 0.
+    """
+    terms = loaded(file, UmpireTerms)
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+    log = structlog.get_logger().bind(umpire=terms.number)
+    try:
+        anyio.run(serve, terms, log.info)
+    except* OSError as faults:
+        first: BaseException = faults
+        while isinstance(first, BaseExceptionGroup):
+            first = first.exceptions[0]
+        click.echo(f"{file}: {first}", err=True)
+        sys.exit(BAD_INPUT)
+
+
+async def serve(terms: UmpireTerms, log: Any) -> None:
+    memory = FileMemory(Path(terms.remembered)) if terms.remembered else None
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with RunningUmpire(terms, net=TcpNet(), memory=memory, log=log) as running:
+            async for _ in signals:
+                await running.stop()
+                return
+
+
+@main.group()
+def day() -> None:
+    """Play scripted days and check their records."""
+
+
+@day.command("run")
+@click.argument("file", type=Path_)
+@click.option("--seed", type=int, default=None, help="Instead of the file's own.")
+@click.option("--virtual", is_flag=True, help="In memory and virtual time: quick, and the same each time.")
+@click.option("--json", "as_json", is_flag=True, help="The result as JSON on standard output.")
+@click.option("--record", "folder", type=Path_, default=None, help="Write the record into this folder.")
+def day_run(file: Path, seed: int | None, virtual: bool, as_json: bool, folder: Path | None) -> None:
+    """Play the day in FILE and hold its traffic against the rules.
+
+    Exit code 0 with all rules kept, 1 with one broken, 2 for bad input.
+
+    \b
+    gullmount day run days/first.yaml
+    gullmount day run days/bad-saturday.yaml --virtual --seed 7 --record /tmp/saturday
+    """
+    terms = loaded(file, DayTerms)
+    seed = terms.seed if seed is None else seed
+    console = Console(stderr=True)
+    how = "in virtual time" if virtual else f"on loopback sockets, {terms.length:.0f} s"
+    with console.status(f"playing {terms.name}, seed {seed}, {how}"):
+        about, lines = days.run(terms, seed, virtual, block_of(os.getpid()))
+    if folder is not None:
+        record.write(folder, about, lines)
+    events = [json.loads(line) for line in lines.splitlines()]
+    tell(about, events, as_json)
+
+
+def block_of(number: int) -> str:
+    """Loopback addresses of one process, so that days played side by side do not meet."""
+    return f"127.{20 + number % 200}"
+
+
+@day.command("check")
+@click.argument("folder", type=Path_)
+@click.option("--json", "as_json", is_flag=True, help="The result as JSON on standard output.")
+def day_check(folder: Path, as_json: bool) -> None:
+    """Hold the recorded day in FOLDER against the rules again."""
+    try:
+        about, events = record.read(folder)
+    except (OSError, ValueError) as fault:
+        click.echo(f"{folder}: {fault}", err=True)
+        sys.exit(BAD_INPUT)
+    try:
+        tell(about, events, as_json)
+    except (KeyError, TypeError, AttributeError) as fault:
+        click.echo(f"{folder}: not the record of a day: {fault!r}", err=True)
+        sys.exit(BAD_INPUT)
+
+
+def tell(about: dict[str, Any], events: list[dict[str, Any]], as_json: bool) -> None:
+    findings, summary = check(about, events), summarize(about, events)
+    broken = any(finding.breaches for finding in findings)
+    if as_json:
+        result = {
+            "day": about["day"]["name"],
+            "seed": about["seed"],
+            "virtual": about["virtual"],
+            "kept": not broken,
+            "rules": [asdict(finding) for finding in findings],
+            "summary": asdict(summary),
+        }
+        click.echo(json.dumps(result, indent=1))
+    else:
+        show(about, findings, summary)
+    sys.exit(BROKEN if broken else 0)
+
+
+def show(about: dict[str, Any], findings: list[Finding], summary: Summary) -> None:
+    console = Console()
+    kind = "virtual" if about["virtual"] else "on sockets"
+    console.print(f"[bold]{about['day']['name']}[/], seed {about['seed']}, {kind}: {about['day']['about']}")
+    rules = Table("rule", "checked on", "kept")
+    for finding in findings:
+        on = ", ".join(f"{count} {what}" for what, count in finding.checked.items())
+        rules.add_row(
+            finding.rule, on, "yes" if not finding.breaches else f"NO, {len(finding.breaches)} times"
+        )
+    console.print(rules)
+    for finding in findings:
+        for breach in finding.breaches[:SHOWN]:
+            reqs = ", ".join(breach.reqs)
+            console.print(
+                f"  {breach.t:9.3f} s  {breach.umpire}: {finding.rule}: {breach.what} [{reqs}]", markup=False
+            )
+    routes = Table("route", "first tries", "completed", "in time", "shed", "errored", "no answer", "payoff")
+    for route, one in summary.routes.items():
+        kept = f"{one.payoff / one.asked:.3f}" if one.asked else "-"
+        counts = (one.first_tries, one.completed, one.in_time, one.shed, one.errored, one.other)
+        routes.add_row(route, *map(str, counts), kept)
+    console.print(routes)
+    builds = Table("build", "what is wrong", "fate", "stages", "tries", "failed")
+    for number, build in summary.builds.items():
+        bad = build.bad or ("-" if number == 1 else "nothing")
+        builds.add_row(str(number), bad, build.fate, str(build.stages), str(build.tries), str(build.spoiled))
+    console.print(builds)
+    troubles = ", ".join(f"{kind} {count}" for kind, count in sorted(summary.troubles.items())) or "none"
+    console.print(f"payoff kept {summary.payoff:.3f}, worst 10 s {summary.worst:.3f}; troubles: {troubles}")
--- a/gullmount/interface.py
+++ b/gullmount/interface.py
@@ -112,6 +112,7 @@
     max_tries: int
     may_subscribe: bool
     max_retry_after: float
+    restarted: bool = False  # an earlier life's tries may still count for the exposure
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/gullmount/net/memory.py
@@ -0,0 +1,181 @@
+"""Streams and datagrams in memory, so that a whole deployment runs in one process and in virtual time.
+
+What only real sockets show is not here: partial writes, the kernel's buffers, half-made handshakes.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+from anyio.abc import ByteStream
+
+ROOM = 65536  # bytes one direction holds before a sender waits: a common socket buffer
+WAITING = 1024  # datagrams that wait unread; later ones are dropped, as a kernel does
+
+
+class Half:
+    """One direction of a stream."""
+
+    def __init__(self) -> None:
+        self.chunks: deque[bytes] = deque()
+        self.held = 0
+        self.ended = False  # the sender closed
+        self.reset = False  # either side aborted
+        self.unread = False  # the receiver closed
+        self.changed = anyio.Event()
+
+    def wake(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
+
+
+class MemoryStream(ByteStream):
+    """One end of a connection."""
+
+    def __init__(self, inward: Half, outward: Half, source: str) -> None:
+        self.inward = inward
+        self.outward = outward
+        self.source = source
+        self.closed = False
+
+    async def receive(self, max_bytes: int = ROOM) -> bytes:
+        await anyio.lowlevel.checkpoint()
+        half = self.inward
+        while True:
+            if self.closed:
+                raise anyio.ClosedResourceError
+            if half.reset:
+                raise anyio.BrokenResourceError
+            if half.chunks:
+                data = half.chunks.popleft()
+                if len(data) > max_bytes:
+                    half.chunks.appendleft(data[max_bytes:])
+                    data = data[:max_bytes]
+                half.held -= len(data)
+                half.wake()
+                return data
+            if half.ended:
+                raise anyio.EndOfStream
+            await half.changed.wait()
+
+    async def send(self, item: bytes) -> None:
+        await anyio.lowlevel.checkpoint()
+        half = self.outward
+        while True:
+            if self.closed:
+                raise anyio.ClosedResourceError
+            if half.reset or half.unread:
+                raise anyio.BrokenResourceError
+            if half.held < ROOM:
+                if item:
+                    half.chunks.append(bytes(item))
+                    half.held += len(item)
+                    half.wake()
+                return
+            await half.changed.wait()
+
+    async def send_eof(self) -> None:
+        self.outward.ended = True
+        self.outward.wake()
+        await anyio.lowlevel.checkpoint()
+
+    async def aclose(self) -> None:
+        """Close; what was sent can still be read, unless unread data here makes it a reset, as in TCP."""
+        if not self.closed:
+            self.closed = True
+            self.outward.ended = True
+            if self.inward.chunks:
+                self.outward.reset = True
+            self.inward.unread = True
+            self.outward.wake()
+            self.inward.wake()
+        await anyio.lowlevel.checkpoint()
+
+    def abort(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.outward.reset = self.inward.reset = True
+            self.outward.wake()
+            self.inward.wake()
+
+
+def pair(source: str = "") -> tuple[MemoryStream, MemoryStream]:
+    """Both ends of a new connection, the connecting side first."""
+    there, back = Half(), Half()
+    return MemoryStream(back, there, source), MemoryStream(there, back, source)
+
+
+class MemoryDatagrams:
+    def __init__(self, net: MemoryNet, address: str) -> None:
+        self.net = net
+        self.address = address
+        self.waiting: deque[tuple[bytes, str]] = deque()
+        self.changed = anyio.Event()
+
+    async def send(self, data: bytes, address: str) -> None:
+        await anyio.lowlevel.checkpoint()
+        there = self.net.sockets.get(address)
+        if there is not None and len(there.waiting) < WAITING:
+            there.waiting.append((data, self.address))
+            there.changed.set()
+            there.changed = anyio.Event()
+
+    async def receive(self) -> tuple[bytes, str]:
+        await anyio.lowlevel.checkpoint()
+        while not self.waiting:
+            await self.changed.wait()
+        return self.waiting.popleft()
+
+    async def aclose(self) -> None:
+        if self.net.sockets.get(self.address) is self:
+            del self.net.sockets[self.address]
+        await anyio.lowlevel.checkpoint()
+
+
+class MemoryNet:
+    """A network of its own: addresses are any text; a party's `source` names where it connects from."""
+
+    def __init__(self) -> None:
+        self.accepting: dict[str, Callable[[MemoryStream], None]] = {}
+        self.sockets: dict[str, MemoryDatagrams] = {}
+
+    async def connect(self, address: str, source: str = "") -> MemoryStream:
+        await anyio.lowlevel.checkpoint()
+        accept = self.accepting.get(address)
+        if accept is None:
+            raise ConnectionRefusedError(f"nobody listens at {address}")
+        ours, theirs = pair(source)
+        accept(theirs)
+        return ours
+
+    async def serve(
+        self, address: str, handler: Callable[[Any], Awaitable[Any]], started: anyio.Event | None = None
+    ) -> None:
+        if address in self.accepting:
+            raise OSError(f"address in use: {address}")
+
+        async def handle(stream: MemoryStream) -> None:
+            await handler(stream)
+
+        async with anyio.create_task_group() as tasks:
+
+            def accept(stream: MemoryStream) -> None:
+                tasks.start_soon(handle, stream)
+
+            self.accepting[address] = accept
+            if started is not None:
+                started.set()
+            try:
+                await anyio.sleep_forever()
+            finally:
+                del self.accepting[address]
+
+    async def datagrams(self, address: str) -> MemoryDatagrams:
+        if address in self.sockets:
+            raise OSError(f"address in use: {address}")
+        self.sockets[address] = MemoryDatagrams(self, address)
+        await anyio.lowlevel.checkpoint()
+        return self.sockets[address]
--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -28,7 +28,7 @@
     Verdict,
 )
 from gullmount.samples import Counts, Seen, Times, drop_before
-from gullmount.state import Box, Ledger, Pace, Req, Try
+from gullmount.state import Box, Pace, Req, Try
 
 # The split (design page)
 CAP_USE = 0.8  # of the cap; the rest is room for chance and further tries
@@ -166,6 +166,30 @@
         return (int if self.many or boxes <= 1 else ceil)(boxes * SPARE_BOXES)
 
 
+class Ledger:
+    """Sends at builds against the reqs taken, for one count: what the rule on exposure goes by."""
+
+    def __init__(self) -> None:
+        self.reqs: deque[float] = deque()
+        self.sends: dict[int, deque[float]] = defaultdict(deque)
+
+    def took(self, now: float, since: float) -> None:
+        self.reqs.append(now)
+        drop_before(self.reqs, since)
+
+    def sent(self, build: int, now: float, since: float) -> None:
+        self.sends[build].append(now)
+        drop_before(self.sends[build], since)
+
+    def counts(self, build: int, since: float) -> tuple[int, int]:
+        """Sends at the build and reqs taken since then; a send of just then still counts, a req does not."""
+        sends = self.sends[build]
+        while self.reqs and self.reqs[0] <= since:
+            self.reqs.popleft()
+        drop_before(sends, since)
+        return len(sends), len(self.reqs)
+
+
 class Umpire:
     """Lives as long as the instance."""
 
@@ -377,6 +401,8 @@
             return False
         if not self.on_trial(box.build):
             return True
+        if self.grounds.restarted and now - self.born < self.release.window:
+            return False  # what was sent before a kill may fill the cap: it is not known, so nothing is added
         unannounced = box.build > self.build
         cap = self.release.caps[0] if unannounced else self.cap
         stage = 0 if unannounced else self.stage
--- /dev/null
+++ b/gullmount/standins/clients.py
@@ -0,0 +1,254 @@
+"""Clients: arrivals that wait for nobody, patience, retries as the routes allow, and what they get."""
+
+from __future__ import annotations
+
+from bisect import bisect
+from collections.abc import Callable
+from dataclasses import dataclass
+from itertools import accumulate
+from math import log, sqrt
+from random import Random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from gullmount.standins.http import Caller
+from gullmount.standins.links import Party
+from gullmount.standins.record import Record
+
+POOLED = 32  # idle connections a client process keeps to its umpire
+LOOK_EVERY = 0.02  # s between looks at the rate, which troubles change
+HASTE = 0.05  # of the route timeout that an impatient client waits
+ABUSED = 12  # tries at most by clients that retry without end
+PATIENCE_LEAST = 0.02  # s: shorter tries are not made
+WATCHED = 0.05  # s that a client listens on after an answer, now and then, for what must not come
+WATCH_SHARE = 0.05  # of the answers after which it does
+
+
+@dataclass(frozen=True)
+class RouteKind:
+    """A route as clients know it; times and work in seconds."""
+
+    name: str
+    method: str
+    path: str
+    share: float
+    work: float
+    spread: float
+    objective: float
+    timeout: float
+    repeats: str
+    group: str
+    dedupe_window: float
+    payoff: float
+    late_payoff: float
+
+
+@dataclass(frozen=True)
+class ClientKind:
+    """How clients behave; times in seconds."""
+
+    retries: int
+    backoff: str
+    backoff_time: float
+    patience_share: float
+    honour: float
+    impatient: float
+    max_retry_after: float
+
+
+@dataclass
+class Mood:
+    """What troubles do to all clients: a share of their patience lost, and retries without end or pause."""
+
+    impatience: float = 0.0
+    abuse: bool = False
+
+
+class KeyDraw:
+    """Keys, a few far more popular than the rest."""
+
+    def __init__(self, random: Random, count: int, skew: float) -> None:
+        self.random = random.random
+        self.sums = list(accumulate(1 / (rank + 1) ** skew for rank in range(count)))
+
+    def draw(self) -> str:
+        return f"k{bisect(self.sums, self.random() * self.sums[-1])}"
+
+
+class ClientsOf:
+    """All clients of one umpire."""
+
+    def __init__(
+        self,
+        number: int,
+        address: str,
+        party: Party,
+        record: Record,
+        tasks: TaskGroup,
+        kind: ClientKind,
+        routes: list[RouteKind],
+        keys: KeyDraw | None,
+        seed: int,
+        rate: Callable[[int], float],
+        heavy: Callable[[str], float],
+        mood: Mood,
+    ) -> None:
+        self.number = number
+        self.address = address
+        self.party = party
+        self.record = record
+        self.tasks = tasks
+        self.kind = kind
+        self.routes = routes
+        self.sums = list(accumulate(route.share for route in routes))
+        self.keys = keys
+        self.random = Random(seed)
+        self.rate = rate
+        self.heavy = heavy
+        self.mood = mood
+        self.idle: list[Caller] = []
+        self.count = 0
+        self.out = 0
+
+    async def run(self, until: float) -> None:
+        """First tries at the umpire's rate until then."""
+        due = 0.0
+        while self.record.now() < until:
+            due += LOOK_EVERY * self.rate(self.number)
+            while due > 0:
+                due -= -log(1 - self.random.random())
+                self.count += 1
+                self.tasks.start_soon(self.first_try, f"{self.number}.{self.count}")
+            await anyio.sleep(LOOK_EVERY)
+
+    async def first_try(self, first: str) -> None:
+        route = self.routes[bisect(self.sums, self.random.random() * self.sums[-1])]
+        key = self.keys.draw() if self.keys is not None else None
+        deviation = sqrt(log(1 + route.spread**2))
+        work = (
+            route.work * self.random.lognormvariate(-(deviation**2) / 2, deviation) * self.heavy(route.name)
+        )
+        hasty = self.random.random() < self.kind.impatient
+        patience = route.timeout * (HASTE if hasty else self.kind.patience_share) * (1 - self.mood.impatience)
+        began = self.record.now()
+        self.record.note("asked", first=first, umpire=self.number, route=route.name)
+        self.out += 1
+        try:
+            for number in range(ABUSED):
+                if number > self.kind.retries and not self.mood.abuse:
+                    break
+                left = route.timeout - (self.record.now() - began)
+                if left < PATIENCE_LEAST:
+                    break
+                word, wait = await self.one_try(
+                    f"{first}.{number}", route, key, work, min(patience, left), first
+                )
+                if word in ("completed", "wrong") or not self.may_repeat(route, word, began):
+                    break
+                if number < self.kind.retries or self.mood.abuse:
+                    await anyio.sleep(self.pause(number, wait))
+        finally:
+            self.out -= 1
+        self.record.note("ended", first=first, umpire=self.number)
+
+    def may_repeat(self, route: RouteKind, word: str, began: float) -> bool:
+        if word in ("shed", "unreached") or route.repeats == "retriable":
+            return True
+        within = self.record.now() - began < route.dedupe_window
+        return route.repeats == "deduped" and route.group == "all" and within
+
+    def pause(self, number: int, wait: float) -> float:
+        if self.mood.abuse:
+            return 0.01
+        if wait and self.random.random() < self.kind.honour:
+            return min(wait, self.kind.max_retry_after)
+        if self.kind.backoff == "none":
+            return 0.0
+        grown = self.kind.backoff_time * (2**number if self.kind.backoff == "exp" else 1)
+        return grown * (0.5 + self.random.random())
+
+    async def one_try(
+        self, req: str, route: RouteKind, key: str | None, work: float, patience: float, first: str
+    ) -> tuple[str, float]:
+        """One req to the umpire; how it ended for the client, and the wait it was asked for."""
+        sent = self.record.now()
+        headers = [
+            ("host", "exam"),
+            ("x-req-id", req),
+            ("x-route", route.name),
+            ("x-work", f"{work:.6f}"),
+            ("x-patience-ms", str(int(patience * 1000))),
+        ]
+        if key is not None:
+            headers.append(("x-key", key))
+        if route.repeats == "deduped":
+            headers.append(("x-mark", first))
+        self.record.note(
+            "sent",
+            req=req,
+            umpire=self.number,
+            route=route.name,
+            key=key,
+            patience=round(patience, 6),
+            first=first,
+        )
+        caller: Caller | None = None
+        said = None
+        with anyio.move_on_after(patience + self.kind_slack()) as scope:
+            try:
+                caller = self.idle.pop() if self.idle else Caller(await self.party.connect(self.address))
+            except OSError:
+                self.record.note("got", req=req, umpire=self.number, answer="unreached")
+                return "unreached", 0.0
+            said = await caller.ask(route.method, route.path, headers)
+        time = self.record.now() - sent
+        if said is None or caller is None:
+            # Where the umpire died or never answered the client only knows that nothing came.
+            word = "late" if scope.cancelled_caught else "broken"
+            self.record.note("got", req=req, umpire=self.number, answer=word, time=round(time, 6))
+            if caller is not None:
+                await caller.close()
+            return word, 0.0
+        status, told, _ = said
+        word = told.get("gullmount-answer", f"unsaid {status}")
+        wrong = told.get("x-wrong") == "1"
+        self.record.note(
+            "got",
+            req=req,
+            umpire=self.number,
+            answer=word,
+            status=status,
+            time=round(time, 6),
+            build=int(told.get("x-build", "0")),
+            **({"wrong": True} if wrong else {}),
+        )
+        await self.watch_on(req, caller)
+        wait = float(told.get("retry-after-ms", "0")) / 1000
+        return word, wait
+
+    def kind_slack(self) -> float:
+        """How long a client listens on after its time, so that an answer that comes late is seen as late."""
+        return 0.5
+
+    async def watch_on(self, req: str, caller: Caller) -> None:
+        """Nothing may come after the answer: look at what has, and at times wait a little for it."""
+        extra = caller.extra()
+        if not extra and self.random.random() < WATCH_SHARE:
+            with anyio.move_on_after(WATCHED):
+                try:
+                    extra = await caller.stream.receive()
+                except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+                    await caller.close()
+                    return
+        if extra:
+            self.record.note("extra", req=req, umpire=self.number, bytes=len(extra))
+        elif caller.again() and len(self.idle) < POOLED:
+            self.idle.append(caller)
+            return
+        await caller.close()
+
+    async def close(self) -> None:
+        for caller in self.idle:
+            await caller.close()
+        self.idle = []
--- /dev/null
+++ b/gullmount/standins/links.py
@@ -0,0 +1,209 @@
+"""The links between zones: delay, cuts, lost messages, and who connects from where. Over sockets or in
+memory."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any
+
+import anyio
+from anyio.abc import SocketAttribute
+
+from gullmount.net import BROKEN, Datagrams, MemoryNet, Stream, TcpNet, abort
+
+
+class LinkedStream(Stream):
+    """A stream over a link: slower by its delay, and held up while it is cut, as TCP is."""
+
+    def __init__(self, inner: Stream, links: Links, here: str, there: str) -> None:
+        self.inner = inner
+        self.links = links
+        self.here = here
+        self.there = there
+        self.came: bytes | None = None  # read from the inner stream, still on its way
+        self.due = 0.0
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        if self.came is None:
+            self.came = await self.inner.receive(max_bytes)
+            self.due = anyio.current_time() + self.links.delay(self.there, self.here)
+        await anyio.sleep_until(self.due)
+        await self.links.whole(self.here, self.there)
+        data, self.came = self.came, None
+        return data
+
+    async def send(self, item: bytes) -> None:
+        delay = self.links.delay(self.here, self.there)
+        if delay:
+            await anyio.sleep(delay)
+        await self.links.whole(self.here, self.there)
+        await self.inner.send(item)
+
+    async def send_eof(self) -> None:
+        await self.inner.send_eof()
+
+    async def aclose(self) -> None:
+        await self.inner.aclose()
+
+    def abort(self) -> None:
+        reset = getattr(self.inner, "abort", None)
+        if reset is not None:
+            reset()
+
+
+class LinkedDatagrams:
+    """Messages that arrive late, or not at all where the link is cut or chance has it."""
+
+    def __init__(self, inner: Datagrams, links: Links, here: str, tasks: anyio.abc.TaskGroup) -> None:
+        self.inner = inner
+        self.links = links
+        self.here = here
+        self.tasks = tasks
+
+    async def send(self, data: bytes, address: str) -> None:
+        await anyio.lowlevel.checkpoint()
+        self.tasks.start_soon(self.deliver, data, address)
+
+    async def deliver(self, data: bytes, address: str) -> None:
+        links = self.links
+        there = links.zone_at(address)
+        lost = links.random() < links.message_loss or links.messages_down
+        await anyio.sleep(
+            links.message_delay[0] + links.random() * (links.message_delay[1] - links.message_delay[0])
+        )
+        if lost or links.is_cut(self.here, there):
+            return
+        try:
+            await self.inner.send(data, address)
+        except BROKEN:
+            return
+
+    async def receive(self) -> tuple[bytes, str]:
+        return await self.inner.receive()
+
+    async def aclose(self) -> None:
+        await self.inner.aclose()
+
+
+class Links:
+    """All links of a day; zones are names, parties are known by the host they connect from."""
+
+    def __init__(self, base: MemoryNet | None, seed: int) -> None:
+        self.base = base  # None: sockets of the machine
+        self.random = Random(seed).random
+        self.same = 0.0  # s one way within a zone
+        self.cross = 0.0  # s one way between zones
+        self.jitter = 0.0  # share of a delay that is chance
+        self.slowed: dict[str, float] = {}  # s more one way, to and from a zone
+        self.cut: set[str] = set()  # zones cut off from the others
+        self.mended = anyio.Event()
+        self.message_delay = (0.001, 0.005)
+        self.message_loss = 0.0
+        self.messages_down = False
+        self.zones: dict[str, str] = {}  # by host
+        self.names: dict[str, str] = {}  # by host
+
+    def place(self, host: str, name: str, zone: str) -> None:
+        self.zones[host] = zone
+        self.names[host] = name
+
+    def zone_at(self, address: str) -> str:
+        return self.zones.get(address.rpartition(":")[0], "")
+
+    def delay(self, here: str, there: str) -> float:
+        delay = self.same if here == there else self.cross
+        delay += self.slowed.get(here, 0.0) + self.slowed.get(there, 0.0) if here != there else 0.0
+        return delay * (1 - self.jitter / 2 + self.jitter * self.random()) if delay else 0.0
+
+    def is_cut(self, here: str, there: str) -> bool:
+        return here != there and (here in self.cut or there in self.cut)
+
+    async def whole(self, here: str, there: str) -> None:
+        while self.is_cut(here, there):
+            await self.mended.wait()
+
+    def mend(self, zone: str) -> None:
+        self.cut.discard(zone)
+        self.mended.set()
+        self.mended = anyio.Event()
+
+
+class Party:
+    """One machine's view of the network; `kill` ends all that it holds, as a crash would."""
+
+    def __init__(self, links: Links, host: str, name: str, zone: str, tasks: anyio.abc.TaskGroup) -> None:
+        self.links = links
+        self.host = host
+        self.zone = zone
+        self.tasks = tasks
+        self.open: dict[Stream, None] = {}
+        self.tcp = TcpNet(local_host=host)
+        links.place(host, name, zone)
+
+    async def connect(self, address: str) -> Stream:
+        links, there = self.links, self.links.zone_at(address)
+        await links.whole(self.zone, there)
+        await anyio.sleep(links.delay(self.zone, there) * 2)
+        await links.whole(self.zone, there)
+        inner: Stream
+        if links.base is not None:
+            inner = await links.base.connect(address, self.host)
+        else:
+            inner = await self.tcp.connect(address)
+        return self.hold(LinkedStream(inner, links, self.zone, there))
+
+    def hold(self, stream: Stream) -> Stream:
+        """Remember it, so that a kill ends it; closed ones are forgotten now and then."""
+        if len(self.open) > 256:
+            self.open = {one: None for one in self.open if not is_closed(one)}
+        self.open[stream] = None
+        return stream
+
+    async def serve(
+        self, address: str, handler: Callable[[Stream], Awaitable[Any]], started: anyio.Event | None = None
+    ) -> None:
+        async def held(stream: Stream) -> None:
+            self.hold(stream)
+            await handler(stream)
+
+        if self.links.base is not None:
+            await self.links.base.serve(address, held, started)
+        else:
+            await self.tcp.serve(address, held, started)
+
+    async def datagrams(self, address: str) -> Datagrams:
+        if self.links.base is not None:
+            inner: Datagrams = await self.links.base.datagrams(address)
+        else:
+            inner = await self.tcp.datagrams(address)
+        return LinkedDatagrams(inner, self.links, self.zone, self.tasks)
+
+    async def kill(self) -> None:
+        with anyio.CancelScope(shield=True):
+            for stream in self.open:
+                await abort(stream)
+            self.open = {}
+
+
+def is_closed(stream: Stream) -> bool:
+    inner = stream.inner if isinstance(stream, LinkedStream) else stream
+    closed = getattr(inner, "closed", None)
+    if closed is not None:
+        return bool(closed)
+    try:
+        return int(inner.extra(SocketAttribute.raw_socket).fileno()) < 0
+    except (anyio.TypedAttributeLookupError, OSError):
+        return True
+
+
+def source_of(stream: Stream) -> str:
+    """The host that the other side connected from."""
+    inner = stream.inner if isinstance(stream, LinkedStream) else stream
+    source = getattr(inner, "source", None)
+    if source is not None:
+        return str(source)
+    try:
+        return str(inner.extra(SocketAttribute.remote_address)[0])
+    except (anyio.TypedAttributeLookupError, OSError):
+        return ""
--- a/gullmount/state.py
+++ b/gullmount/state.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-from collections import defaultdict, deque
 from math import inf
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from gullmount.interface import BoxState, Listed, Outcome, Route
-from gullmount.samples import drop_before
 
-if TYPE_CHECKING:
-    from gullmount.policy import Umpire
+
+class HearsOfTries(Protocol):
+    """Who took a req and is told of its tries' ends."""
+
+    def try_ended(self, req: Req, number: int, outcome: Outcome, latency: float, final: bool) -> None: ...
 
 
 class Pace:
@@ -25,7 +26,8 @@
         self.told = -inf
 
     def expected(self, usual: float, half_life: float, now: float) -> float:
-        return usual + (self.time - usual) * 0.5 ** ((now - self.told) / half_life)
+        fade: float = 0.5 ** ((now - self.told) / half_life)
+        return usual + (self.time - usual) * fade
 
     def note(self, time: float, weight: float, usual: float, half_life: float, now: float) -> None:
         self.time = self.expected(usual, half_life, now)
@@ -78,7 +80,7 @@
     """The handle of one taken req; lives until its last try has ended."""
 
     def __init__(
-        self, umpire: Umpire, req_id: str, route: Route, give_up: float, key: str | None, place: float
+        self, umpire: HearsOfTries, req_id: str, route: Route, give_up: float, key: str | None, place: float
     ) -> None:
         self.umpire = umpire
         self.id = req_id
@@ -102,27 +104,3 @@
     def left(self) -> None:
         """The client left; nothing is owed any more."""
         self.settled = True
-
-
-class Ledger:
-    """Sends at builds against the reqs taken, for one count."""
-
-    def __init__(self) -> None:
-        self.reqs: deque[float] = deque()
-        self.sends: dict[int, deque[float]] = defaultdict(deque)
-
-    def took(self, now: float, since: float) -> None:
-        self.reqs.append(now)
-        drop_before(self.reqs, since)
-
-    def sent(self, build: int, now: float, since: float) -> None:
-        self.sends[build].append(now)
-        drop_before(self.sends[build], since)
-
-    def counts(self, build: int, since: float) -> tuple[int, int]:
-        """Sends at the build and reqs taken since then; a send of just then still counts, a req does not."""
-        sends = self.sends[build]
-        while self.reqs and self.reqs[0] <= since:
-            self.reqs.popleft()
-        drop_before(sends, since)
-        return len(sends), len(self.reqs)
--- /dev/null
+++ b/gullmount/umpire/control.py
@@ -0,0 +1,370 @@
+"""Roster, launcher and peers: their messages decoded into calls on the module, its wishes encoded for them.
+
+The formats stand in docs/protocols.md. What cannot be understood is dropped with a line in the log; a list
+that
+cannot be understood ends that watch, and the list in hand stays.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import anyio
+import h11
+import msgspec
+
+from gullmount.interface import BoxState, Listed, ListKind, Phase, Verdict
+from gullmount.net import BROKEN, Datagrams, Net
+from gullmount.umpire.host import SocketHost
+
+VERSION = 1  # of all messages here; others are dropped
+LINE_MOST = 4 << 20  # bytes of one line: a list of some ten thousand boxes
+CALL_WITHIN = 2.0  # s in which a watch must be answered before it counts as refused
+SILENT = 15.0  # s without a line after which a watch is given up: the sender says something each 5 s
+AGAIN = 0.5  # s before a broken watch is opened again, up to twice that by chance; doubles
+AGAIN_MOST = 4.0  # s of that at most: news must not be late for longer than a stage lasts
+PEER_MOST = 256  # bytes of a message to a peer
+ANSWER_MOST = 65536  # bytes of a vote's answer
+
+KINDS = {"full": ListKind.FULL, "changes": ListKind.CHANGES}
+STATES = {state.value: state for state in BoxState}
+PHASES = {phase.value: phase for phase in Phase}
+VERDICTS = {verdict.value: verdict for verdict in Verdict}
+NUMBER = (int, float)
+Fields = dict[str, type | tuple[type, ...]]
+BOX: Fields = {
+    "box": str,
+    "zone": str,
+    "cell": int,
+    "build": int,
+    "state": str,
+    "power": NUMBER,
+    "start": (str, type(None)),
+    "age": (*NUMBER, type(None)),
+}
+NEWS: Fields = {"build": int, "stage": int, "phase": str, "cap": NUMBER}
+TALLY: Fields = {"build": int, "route": str, "tries": int, "lost": int, "time": NUMBER, "age": NUMBER}
+TOLD: Fields = {"from": int, "build": int, "stage": int, "verdict": str}
+
+
+class NotUnderstood(Exception):
+    """A message that does not follow docs/protocols.md; the text names the field."""
+
+
+class Refused(Exception):
+    """A call that got no good answer."""
+
+
+def check(message: Any, fields: Fields) -> dict[str, Any]:
+    if not isinstance(message, dict):
+        raise NotUnderstood("no object")
+    for name, kind in fields.items():
+        value = message.get(name)
+        if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
+            raise NotUnderstood(f"field {name} is missing or wrong")
+    return message
+
+
+def chosen(table: dict[str, Any], message: dict[str, Any], name: str) -> Any:
+    value = message.get(name)
+    if value not in table:
+        raise NotUnderstood(f"field {name} has no such value")
+    return table[value]
+
+
+def decode(line: bytes) -> dict[str, Any]:
+    try:
+        message = check(msgspec.json.decode(line), {"v": int})
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
+        raise NotUnderstood("not JSON") from None
+    if message["v"] != VERSION:
+        raise NotUnderstood(f"version {message['v']}")
+    return message
+
+
+class Starts:
+    """When each box started, by this umpire's clock: told as an age, and kept while the box names the same
+    start."""
+
+    def __init__(self) -> None:
+        self.known: dict[str, tuple[str, float]] = {}
+
+    def listed(self, line: Any, now: float) -> Listed:
+        entry = check(line, BOX)
+        box, start, age = entry["box"], entry["start"], entry["age"]
+        state = chosen(STATES, entry, "state")
+        started = 0.0
+        if start is not None and age is not None:
+            if self.known.get(box, ("", 0.0))[0] != start:
+                self.known[box] = start, now - max(0.0, age)
+            started = self.known[box][1]
+        if state is BoxState.GONE:
+            self.known.pop(box, None)
+        return Listed(
+            box=box,
+            zone=entry["zone"],
+            cell=entry["cell"],
+            build=entry["build"],
+            state=state,
+            power=max(0.0, entry["power"]),
+            started=started,
+        )
+
+
+async def call(net: Net, address: str, method: str, target: str, body: bytes = b"") -> tuple[int, bytes]:
+    """One small call on a connection of its own. Raises Refused."""
+    status, parts = 0, []
+    async for part in open_call(net, address, method, target, body):
+        if isinstance(part, int):
+            status = part
+        else:
+            parts.append(part)
+            if sum(map(len, parts)) > ANSWER_MOST:
+                raise Refused("answer too long")
+    return status, b"".join(parts)
+
+
+async def open_call(
+    net: Net, address: str, method: str, target: str, body: bytes = b""
+) -> AsyncIterator[int | bytes]:
+    """The status, then the body as it comes. Raises Refused whatever goes wrong."""
+    try:
+        stream = await net.connect(address)
+    except OSError as fault:
+        raise Refused(f"no connection: {fault}") from None
+    try:
+        conn = h11.Connection(h11.CLIENT)
+        headers = [("host", address), ("connection", "close"), ("content-length", str(len(body)))]
+        out = conn.send(h11.Request(method=method, target=target, headers=headers)) or b""
+        if body:
+            out += conn.send(h11.Data(data=body)) or b""
+        await stream.send(out + (conn.send(h11.EndOfMessage()) or b""))
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    conn.receive_data(await stream.receive())
+                except anyio.EndOfStream:
+                    conn.receive_data(b"")
+            elif isinstance(event, h11.Response):
+                yield event.status_code
+            elif isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            elif not isinstance(event, h11.InformationalResponse):
+                raise Refused("closed")
+    except BROKEN as fault:
+        raise Refused(f"broken: {type(fault).__name__}") from None
+    except (h11.RemoteProtocolError, RuntimeError) as fault:
+        raise Refused(f"not HTTP: {fault}") from None
+    finally:
+        await anyio.aclose_forcefully(stream)
+
+
+async def watch_lines(net: Net, address: str, target: str) -> AsyncIterator[bytes]:
+    """The lines of a watch, which never ends by itself in peace: raises Refused."""
+    rest = b""
+    parts = open_call(net, address, "GET", target)
+    try:
+        while True:
+            try:
+                with anyio.fail_after(SILENT):
+                    part = await anext(parts)
+            except StopAsyncIteration:
+                raise Refused("ended") from None
+            except TimeoutError:
+                raise Refused("silent") from None
+            if isinstance(part, int):
+                if part != 200:  # noqa: PLR2004 (HTTP: ok)
+                    raise Refused(f"status {part}")
+                continue
+            *lines, rest = (rest + part).split(b"\n")
+            if len(rest) > LINE_MOST:
+                raise Refused("line too long")
+            for line in lines:
+                if line:
+                    yield line
+    finally:
+        await parts.aclose()  # type: ignore[attr-defined]
+
+
+class Roster:
+    """Watches the list of boxes."""
+
+    def __init__(
+        self, host: SocketHost, net: Net, on_list: Callable[[list[dict[str, Any]], bool], None]
+    ) -> None:
+        self.host = host
+        self.net = net
+        self.terms = host.terms.roster
+        self.starts = Starts()
+        self.index = 0
+        self.watching = False
+        self.on_list = on_list
+
+    async def push(self) -> None:
+        """Watch for ever, opening the watch again when it breaks."""
+        wait = AGAIN
+        while True:
+            if await self.watch():
+                wait = AGAIN
+            await anyio.sleep(wait * (1 + self.host.random.random()))
+            wait = min(AGAIN_MOST, wait * 2)
+
+    def ask(self) -> None:
+        """The module asked: one watch, whose end is told as refused."""
+        if not self.watching:
+            self.watching = True
+            self.host.tasks.start_soon(self.ask_once)
+
+    async def ask_once(self) -> None:
+        try:
+            await self.watch()
+        finally:
+            self.watching = False
+        self.host.umpire.listed(ListKind.REFUSED, [])
+
+    async def watch(self) -> bool:
+        """Whether anything was told before it broke."""
+        told = False
+        try:
+            target = f"/v1/roster?after={self.index}&umpire={self.host.terms.number}"
+            async for line in watch_lines(self.net, self.terms.address, target):
+                self.hear(line)
+                told = True
+        except Refused as fault:
+            self.host.write_log("roster watch ended", why=str(fault))
+        except NotUnderstood as fault:
+            self.index = 0
+            self.host.write_log("roster not understood", why=str(fault))
+        return told
+
+    def hear(self, line: bytes) -> None:
+        message = decode(line)
+        if message.get("kind") == "alive":
+            return
+        check(message, {"index": int, "boxes": list})
+        kind = chosen(KINDS, message, "kind")
+        now = self.host.now()
+        lines = [self.starts.listed(entry, now) for entry in message["boxes"]]
+        self.index = message["index"]
+        self.host.umpire.listed(kind, lines)
+        for listed in lines:
+            if listed.state is BoxState.GONE:
+                self.host.upstream.forget(listed.box)
+        self.on_list(message["boxes"], kind is ListKind.FULL)
+
+
+class Launcher:
+    """Hears news of builds and tallies, and carries votes."""
+
+    def __init__(self, host: SocketHost, net: Net, on_news: Callable[[dict[str, Any]], None]) -> None:
+        self.host = host
+        self.net = net
+        self.terms = host.terms.launcher
+        self.on_news = on_news
+
+    async def watch(self) -> None:
+        wait = AGAIN
+        while True:
+            try:
+                target = f"/v1/news?umpire={self.host.terms.number}"
+                async for line in watch_lines(self.net, self.terms.address, target):
+                    wait = AGAIN
+                    try:
+                        self.hear(line)
+                    except NotUnderstood as fault:
+                        self.host.write_log("news not understood", why=str(fault))
+            except Refused as fault:
+                self.host.write_log("news ended", why=str(fault))
+            await anyio.sleep(wait * (1 + self.host.random.random()))
+            wait = min(AGAIN_MOST, wait * 2)
+
+    def hear(self, line: bytes) -> None:
+        message = decode(line)
+        if "news" in message:
+            self.news(message["news"])
+        elif "tally" in message:
+            tally = check(message["tally"], TALLY)
+            if tally["route"] in self.host.umpire.grounds.routes:
+                self.host.umpire.tallied(
+                    tally["build"], tally["route"], tally["tries"], tally["lost"], tally["time"], tally["age"]
+                )
+        elif message.get("kind") != "alive":
+            raise NotUnderstood("neither news nor tally")
+
+    def news(self, told: Any) -> None:
+        news = check(told, NEWS)
+        phase = chosen(PHASES, news, "phase")
+        if not 0 <= news["cap"] <= 1 or news["stage"] < 0:
+            raise NotUnderstood("field cap or stage is out of range")
+        self.host.umpire.news(news["build"], news["stage"], phase, news["cap"])
+        self.on_news(news)
+
+    def vote(self, build: int, stage: int, verdict: Verdict) -> None:
+        self.host.tasks.start_soon(self.cast, build, stage, verdict)
+
+    async def cast(self, build: int, stage: int, verdict: Verdict) -> None:
+        """One vote; whatever is no good answer is told as such."""
+        message = {
+            "v": VERSION,
+            "umpire": self.host.terms.number,
+            "build": build,
+            "stage": stage,
+            "verdict": verdict.value,
+        }
+        body = msgspec.json.encode(message)
+        try:
+            with anyio.fail_after(self.terms.answer_within):
+                status, answer = await call(self.net, self.terms.address, "POST", "/v1/votes", body)
+            if status != 200:  # noqa: PLR2004 (HTTP: ok)
+                raise Refused(f"status {status}")
+            self.news(decode(answer).get("news"))
+        except (Refused, NotUnderstood, TimeoutError) as fault:
+            self.host.write_log("vote not answered", why=str(fault) or "no answer in time")
+            self.host.umpire.vote_failed()
+
+
+class Peers:
+    """Votes told from umpire to umpire; they may be lost."""
+
+    def __init__(self, host: SocketHost, datagrams: Datagrams, addresses: dict[int, str]) -> None:
+        self.host = host
+        self.datagrams = datagrams
+        self.addresses = addresses
+
+    def tell(self, peer: int, build: int, stage: int, verdict: Verdict) -> None:
+        if peer in self.addresses:
+            self.host.tasks.start_soon(self.send, peer, build, stage, verdict)
+
+    async def send(self, peer: int, build: int, stage: int, verdict: Verdict) -> None:
+        message = {
+            "v": VERSION,
+            "from": self.host.terms.number,
+            "build": build,
+            "stage": stage,
+            "verdict": verdict.value,
+        }
+        try:
+            await self.datagrams.send(msgspec.json.encode(message), self.addresses[peer])
+        except BROKEN as fault:
+            self.host.write_log("peer not told", peer=peer, why=type(fault).__name__)
+
+    async def hear(self) -> None:
+        while True:
+            try:
+                data, source = await self.datagrams.receive()
+            except BROKEN:
+                return
+            try:
+                if len(data) > PEER_MOST:
+                    raise NotUnderstood("too long")
+                told = check(decode(data), TOLD)
+                if self.addresses.get(told["from"]) != source:
+                    raise NotUnderstood("not from that peer's address")
+                verdict = chosen(VERDICTS, told, "verdict")
+                self.host.umpire.heard(told["from"], told["build"], told["stage"], verdict)
+            except NotUnderstood as fault:
+                self.host.write_log("peer not understood", source=source, why=str(fault))
--- /dev/null
+++ b/gullmount/umpire/exchange.py
@@ -0,0 +1,71 @@
+"""One taken req between its client and the boxes; lives until its answer has left and its last try has
+ended."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Callable
+from math import inf
+
+import anyio
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+
+from gullmount.state import Req
+from gullmount.umpire.messages import Answer, Head
+
+PASSED_AHEAD = (
+    4  # chunks of a begun answer that wait for the client before the box's connection is left to fill
+)
+
+
+class Exchange:
+    """Holds the one final answer. `settle` takes the first one given; later ones change nothing."""
+
+    def __init__(self, req_id: str, head: Head, body: bytes, give_up: float) -> None:
+        self.id = req_id
+        self.head = head
+        self.body = body
+        self.rest: Callable[[], AsyncIterator[bytes]] | None = None  # what follows `body`, to be read once
+        self.spent = False  # whether that was begun
+        self.stream = False  # whether the route's answers are passed on as they come
+        self.give_up = give_up
+        self.req: Req | None = None
+        self.tries = 0
+        self.open = 0
+        self.scopes: dict[int, anyio.CancelScope] = {}
+        self.failure: Answer | None = (
+            None  # the box's own words, or ours, for the case that the module gives up
+        )
+        self.answer: Answer | None = None
+        self.passing: MemoryObjectReceiveStream[bytes] | None = None
+        self.broke = False  # a begun answer broke off
+        self.left = False
+        self.done = anyio.Event()
+
+    @property
+    def settled(self) -> bool:
+        return self.done.is_set()
+
+    def settle(self, answer: Answer) -> None:
+        if not self.settled:
+            self.answer = answer
+            self.done.set()
+
+    def begin(self, answer: Answer, number: int) -> MemoryObjectSendStream[bytes]:
+        """The answer's head goes to the client now; the body follows through the returned stream."""
+        send, self.passing = anyio.create_memory_object_stream[bytes](PASSED_AHEAD)
+        self.scopes[number].deadline = inf
+        self.settle(answer)
+        if self.req is not None:
+            self.req.begun(number)
+        return send
+
+    def leave(self) -> None:
+        """The client left: its tries are called off, nothing is owed."""
+        if self.left:
+            return
+        self.left = True
+        self.done.set()
+        if self.req is not None:
+            self.req.left()
+        for scope in self.scopes.values():
+            scope.cancel()
--- /dev/null
+++ b/gullmount/umpire/running.py
@@ -0,0 +1,218 @@
+"""One running umpire: its tasks, its start from what it remembers, its stop."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from types import TracebackType
+from typing import Any, Protocol, Self
+
+import anyio
+import msgspec
+
+from gullmount.interface import ListKind
+from gullmount.net import Net, Stream
+from gullmount.umpire.control import VERSION, Launcher, NotUnderstood, Peers, Roster, check, decode
+from gullmount.umpire.front import Front
+from gullmount.umpire.host import SocketHost
+from gullmount.umpire.terms import UmpireTerms
+
+SAVE_EVERY = 1.0  # s between writes of what is remembered: a list that changes more often is written less
+
+
+class Memory(Protocol):
+    """Where an umpire keeps what its next life needs."""
+
+    def load(self) -> bytes | None: ...
+
+    async def save(self, data: bytes) -> None: ...
+
+
+class NoMemory:
+    def load(self) -> bytes | None:
+        return None
+
+    async def save(self, data: bytes) -> None:
+        pass
+
+
+def no_log(event: str, **fields: Any) -> None:
+    pass
+
+
+class RunningUmpire:
+    """`async with` it: it listens once it knows of boxes and of the build, and stops when left.
+
+    `seed` starts all chance; `wall` is the clock whose time outlives the process, in seconds.
+    """
+
+    def __init__(
+        self,
+        terms: UmpireTerms,
+        *,
+        net: Net,
+        seed: int | None = None,
+        memory: Memory | None = None,
+        wall: Callable[[], float] = time.time,
+        log: Callable[..., None] = no_log,
+    ) -> None:
+        self.terms = terms
+        self.net = net
+        self.seed = (
+            seed if seed is not None else terms.seed if terms.seed is not None else random.getrandbits(62)
+        )
+        self.memory = memory or NoMemory()
+        self.wall = wall
+        self.log = log
+        self.listening = anyio.Event()
+        self.remembered: dict[str, dict[str, Any]] = {}
+        self.last_news: dict[str, Any] | None = None
+        self.to_save = anyio.Event()
+        self.known_boxes = anyio.Event()
+        self.known_build = anyio.Event()
+        self.connections = 0
+
+    async def __aenter__(self) -> Self:
+        async with AsyncExitStack() as stack:
+            self.tasks = await stack.enter_async_context(anyio.create_task_group())
+            self.taking = anyio.CancelScope()
+            remembered = self.recall()
+            self.host = SocketHost(
+                self.terms, self.net, self.tasks, self.seed, remembered is not None, self.log
+            )
+            self.roster = Roster(self.host, self.net, self.note_list)
+            self.launcher = Launcher(self.host, self.net, self.note_news)
+            self.host.on_vote = self.launcher.vote
+            self.host.on_subscribe = self.roster.ask
+            if remembered is not None:
+                self.believe(remembered)
+            if self.terms.peers is not None:
+                datagrams = await self.net.datagrams(self.terms.peers.listen)
+                stack.push_async_callback(datagrams.aclose)
+                peers = Peers(self.host, datagrams, dict(self.terms.peers.addresses))
+                self.host.on_tell = peers.tell
+                self.tasks.start_soon(peers.hear)
+            if self.host.wants_list:
+                self.roster.ask()
+            if self.terms.roster.how == "push":
+                self.tasks.start_soon(self.roster.push)
+            self.tasks.start_soon(self.launcher.watch)
+            self.tasks.start_soon(self.host.upstream.sweep)
+            self.tasks.start_soon(self.save)
+            self.tasks.start_soon(self.listen)
+            self.stack = stack.pop_all()
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, fault: BaseException | None, trace: TracebackType | None
+    ) -> bool | None:
+        self.tasks.cancel_scope.cancel()
+        return await self.stack.__aexit__(kind, fault, trace)
+
+    async def stop(self) -> None:
+        """Take nothing more and wait until all that was taken has its answer."""
+        self.log("stopping", open=len(self.host.exchanges))
+        self.host.stopping = True
+        self.taking.cancel()
+        await self.host.settled()
+        while self.connections and any(front.exchange for front in self.fronts):
+            await anyio.sleep(0.01)
+        self.log("stopped")
+
+    # Clients
+
+    fronts: set[Front]
+
+    async def listen(self) -> None:
+        self.fronts = set()
+        await self.known_boxes.wait()
+        await self.known_build.wait()
+        self.log("listening", address=self.terms.listen)
+        with self.taking:
+            await self.net.serve(self.terms.listen, self.accepted, self.listening)
+
+    async def accepted(self, stream: Stream) -> None:
+        self.tasks.start_soon(self.converse, stream)
+
+    async def converse(self, stream: Stream) -> None:
+        if self.connections >= self.terms.clients.connections or self.host.stopping:
+            await anyio.aclose_forcefully(stream)
+            return
+        front = Front(self.host, stream)
+        self.connections += 1
+        self.fronts.add(front)
+        try:
+            await front.run()
+        finally:
+            self.connections -= 1
+            self.fronts.discard(front)
+
+    # What outlives the process
+
+    def note_list(self, boxes: list[dict[str, Any]], full: bool) -> None:
+        if full:
+            self.remembered = {}
+        now = self.wall()
+        for entry in boxes:
+            if entry["state"] == "gone":
+                self.remembered.pop(entry["box"], None)
+            else:
+                age = entry["age"]
+                self.remembered[entry["box"]] = {**entry, "since": None if age is None else now - age}
+        self.known_boxes.set()
+        self.to_save.set()
+
+    def note_news(self, news: dict[str, Any]) -> None:
+        told = {name: news[name] for name in ("build", "stage", "phase", "cap")}
+        if told != self.last_news:
+            self.last_news = told
+            self.to_save.set()
+        self.known_build.set()
+
+    async def save(self) -> None:
+        while True:
+            await self.to_save.wait()
+            self.to_save = anyio.Event()
+            kept = {"v": VERSION, "boxes": list(self.remembered.values()), "news": self.last_news}
+            try:
+                await self.memory.save(msgspec.json.encode(kept))
+            except OSError as fault:
+                self.log("not remembered", why=fault.strerror)
+            await anyio.sleep(SAVE_EVERY)
+
+    def recall(self) -> dict[str, Any] | None:
+        """What was saved by an earlier life. Text that is not understood counts as a life of which nothing
+        is known."""
+        try:
+            data = self.memory.load()
+            if data is None:
+                return None
+            return check(decode(data), {"boxes": list})
+        except (OSError, NotUnderstood) as fault:
+            self.log("memory not understood", why=str(fault))
+            return {"boxes": [], "news": None}
+
+    def believe(self, remembered: dict[str, Any]) -> None:
+        """Start from the remembered list; the launcher's word is waited for, as a cap may have fallen
+        since."""
+        now, wall = self.host.now(), self.wall()
+        lines = []
+        for entry in remembered["boxes"]:
+            try:
+                since = check(entry, {"since": (int, float, type(None))})["since"]
+                told = {**entry, "age": None if since is None else max(0.0, wall - since)}
+                lines.append(self.roster.starts.listed(told, now))
+            except NotUnderstood as fault:
+                self.log("remembered box dropped", why=str(fault))
+                continue
+            self.remembered[entry["box"]] = entry
+        if lines:
+            self.host.umpire.listed(ListKind.REMEMBERED, lines)
+            self.known_boxes.set()
+        if remembered.get("news") is not None:
+            try:
+                self.launcher.news(remembered["news"])
+            except NotUnderstood as fault:
+                self.log("remembered news dropped", why=str(fault))
--- /dev/null
+++ b/gullmount/umpire/terms.py
@@ -0,0 +1,205 @@
+"""What an umpire is told at its start, as its YAML file holds it. Validated once; nothing reads the file
+later."""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated, Literal, Self
+
+from pydantic import AfterValidator, Field, PositiveFloat, PositiveInt, model_validator
+
+from gullmount.interface import Grounds, Group, ReleaseTerms, Repeats, Route
+from gullmount.net.types import split
+from gullmount.yamlfile import Described
+
+ONCE = " once"  # ends the name of a route's variant whose reqs cannot be sent twice; no route may end so
+
+
+def address(text: str) -> str:
+    split(text)
+    return text
+
+
+def header(text: str) -> str:
+    if not re.fullmatch(r"[A-Za-z0-9!#$%&'*+.^_`|~-]+", text):
+        raise ValueError("not the name of a header")
+    return text.lower()
+
+
+Address = Annotated[str, AfterValidator(address)]
+Header = Annotated[str, AfterValidator(header)]
+Share = Annotated[float, Field(ge=0, le=1)]
+NotNegative = Annotated[float, Field(ge=0)]
+Count = Annotated[int, Field(ge=0)]
+
+
+class Matched(Described):
+    """Which reqs belong to a route; all that is given must hold. `*` in the path stands for one segment
+    or, at
+    its end, for all that follows."""
+
+    method: list[str] = []
+    path: str = "/*"
+    headers: dict[Header, str] = {}
+
+    def pattern(self) -> re.Pattern[str]:
+        parts = self.path.split("*")
+        inner = "[^/?]*".join(re.escape(part) for part in parts[:-1])
+        if len(parts) == 1:
+            return re.compile(re.escape(self.path) + r"(\?.*)?", re.ASCII | re.DOTALL)
+        joined = inner + "[^/?]*" if parts[-1] else inner + ".*"
+        return re.compile(joined + re.escape(parts[-1]) + r"(\?.*)?", re.ASCII | re.DOTALL)
+
+
+class RouteTerms(Described):
+    """A route, with times in seconds."""
+
+    name: Annotated[str, Field(min_length=1, max_length=100)]
+    match: Matched = Matched()
+    objective: PositiveFloat
+    timeout: PositiveFloat
+    repeats: Repeats
+    group: Group = Group.ALL
+    dedupe_window: NotNegative = 0.0
+    dedupe_mark: Header | None = None
+    stream: bool = False
+
+    @model_validator(mode="after")
+    def sound(self) -> Self:
+        if self.name.endswith(ONCE):
+            raise ValueError(f"a route's name may not end with {ONCE!r}")
+        if self.repeats is Repeats.DEDUPED and not (self.dedupe_window and self.dedupe_mark):
+            raise ValueError("a deduped route needs dedupe_window and dedupe_mark")
+        if self.objective > self.timeout:
+            raise ValueError("the latency objective is longer than the route timeout")
+        return self
+
+
+class KeyTerms(Described):
+    """Where a req's key stands: a header, a cookie or a segment of the path counted from 0. First found
+    counts."""
+
+    header: Header | None = None
+    cookie: str | None = None
+    segment: Count | None = None
+
+
+class ClientTerms(Described):
+    """What clients tell and how much of them is borne; sizes in bytes, times in seconds."""
+
+    patience_header: Header = "x-patience-ms"
+    margin: NotNegative = 0.005  # s before the client's time is up by which the answer leaves here
+    head_most: PositiveInt = 32768
+    body_most: PositiveInt = 16 << 20
+    body_kept: Count = 1 << 20
+    connections: PositiveInt = 4096
+    read_within: PositiveFloat = 10.0
+    idle: PositiveFloat = 60.0
+    write_within: PositiveFloat = 10.0
+
+
+class BoxTerms(Described):
+    """What is told of boxes, times in seconds."""
+
+    cold_share: Share
+    warm_time: PositiveFloat
+    tip_multiple: PositiveFloat
+    max_tries: PositiveInt
+    connect_within: PositiveFloat = 0.25
+    link_idle: PositiveFloat = 15.0
+    links: PositiveInt = 256  # connections to one box at most
+    answer_kept: Count = 1 << 20
+    not_begun_header: Header = "x-not-begun"
+
+
+class ReleasesTerms(Described):
+    """How builds are offered and what votes bring about, as the launcher states it; times in seconds."""
+
+    caps: Annotated[list[Share], Field(min_length=1)]
+    by_route: bool = False
+    closed_stages: Count = 0
+    one_way: bool = False
+    window: PositiveFloat
+    spare_tries: NotNegative
+    timed: bool = False
+    vote_life: PositiveFloat
+    to_advance: Count
+    back_votes: PositiveInt
+    votes_per_s: PositiveFloat
+    tally_period: NotNegative = 0.0
+
+
+class RosterTerms(Described):
+    """Where the list of boxes comes from: `push` is watched from the start, `ask` when the module asks."""
+
+    address: Address
+    how: Literal["push", "ask"] = "push"
+
+
+class LauncherTerms(Described):
+    address: Address
+    answer_within: PositiveFloat = 2.0
+
+
+class PeerTerms(Described):
+    """Where this umpire hears and where the others do, by number."""
+
+    listen: Address
+    addresses: dict[Count, Address]
+
+
+class UmpireTerms(Described):
+    """One umpire's file."""
+
+    number: Count
+    of: PositiveInt
+    zone: str
+    listen: Address
+    seed: int | None = None
+    remembered: str | None = None
+    roster: RosterTerms
+    launcher: LauncherTerms
+    peers: PeerTerms | None = None
+    routes: Annotated[list[RouteTerms], Field(min_length=1)]
+    key: list[KeyTerms] = []
+    clients: ClientTerms = ClientTerms()
+    boxes: BoxTerms
+    releases: ReleasesTerms
+    max_retry_after: NotNegative = 0.0
+
+    @model_validator(mode="after")
+    def sound(self) -> Self:
+        names = [route.name for route in self.routes]
+        twice = sorted({name for name in names if names.count(name) > 1})
+        if twice:
+            raise ValueError(f"routes named twice: {', '.join(twice)}")
+        if self.number >= self.of:
+            raise ValueError(f"number is {self.number}, but there are {self.of}, counted from 0")
+        return self
+
+    def grounds(self, seed: int, restarted: bool) -> Grounds:
+        """The same as the decision module takes it. Each route has a variant for reqs that go out once
+        only."""
+        routes: dict[str, Route] = {}
+        for told in self.routes:
+            window = told.dedupe_window
+            routes[told.name] = Route(told.name, told.objective, told.repeats, told.group, window)
+            once = Route(told.name, told.objective, Repeats.NON_RETRIABLE, told.group, 0.0)
+            routes[told.name + ONCE] = once
+        return Grounds(
+            seed=seed,
+            routes=routes,
+            release=ReleaseTerms(**self.releases.model_dump()),
+            zone=self.zone,
+            number=self.number,
+            umpires=self.of,
+            may_tell=self.peers is not None,
+            link_idle=self.boxes.link_idle,
+            cold_share=self.boxes.cold_share,
+            warm_time=self.boxes.warm_time,
+            tip_multiple=self.boxes.tip_multiple,
+            max_tries=self.boxes.max_tries,
+            may_subscribe=self.roster.how == "ask",
+            max_retry_after=self.max_retry_after,
+            restarted=restarted,
+        )
--- /dev/null
+++ b/gullmount/umpire/upstream.py
@@ -0,0 +1,302 @@
+"""Connections to boxes and what happens on them in one upstream try. Says how a try ended, never what
+follows."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from math import inf
+
+import anyio
+import h11
+from anyio.abc import TaskGroup
+
+from gullmount.net import BROKEN, Net, Stream
+from gullmount.umpire.exchange import Exchange
+from gullmount.umpire.messages import Answer, Headers, passed_on
+from gullmount.umpire.outcomes import Ending
+from gullmount.umpire.pump import Pump
+from gullmount.umpire.terms import BoxTerms
+
+SWEEP = 1.0  # s between looks for idle connections: they may stand this much longer than told
+HEAD_MOST = 65536  # bytes of an answer's head: twice what common servers send at most
+READ_WITHIN = 30.0  # s a begun answer may pause: its client has no end of patience that we know of
+SWITCHING = 101  # the status that makes a connection something else than HTTP: never asked for
+
+
+class Link:
+    """One connection to a box."""
+
+    def __init__(self, stream: Stream, now: float) -> None:
+        self.stream = stream
+        self.pump = Pump(stream)
+        self.conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_MOST)
+        self.scope = anyio.CancelScope()
+        self.idle_since = now
+
+    async def run(self) -> None:
+        with self.scope:
+            try:
+                await self.pump.run()
+            finally:
+                await anyio.aclose_forcefully(self.stream)
+
+    def close(self) -> None:
+        self.scope.cancel()
+
+
+class Pool:
+    """The connections to one box; lives as long as one is open."""
+
+    def __init__(self) -> None:
+        self.idle: list[Link] = []
+        self.open = 0
+
+    def take(self) -> Link | None:
+        """An idle connection whose end has not been seen; the newest, so that the others can go."""
+        while self.idle:
+            link = self.idle.pop()
+            if not link.pump.ended and not link.pump.chunks:
+                return link
+            link.close()
+        return None
+
+
+class Progress:
+    """How far one try has come; lives as long as the try."""
+
+    def __init__(self) -> None:
+        self.handed = False  # whether any byte of the req may have left
+        self.ending: Ending | None = None
+        self.answer: Answer | None = None
+
+
+class Upstream:
+    """All connections of one umpire."""
+
+    def __init__(
+        self, terms: BoxTerms, net: Net, tasks: TaskGroup, number: int, log: Callable[..., None]
+    ) -> None:
+        self.terms = terms
+        self.net = net
+        self.tasks = tasks
+        self.mark = [(b"gullmount-umpire", b"%d" % number)]
+        self.pools: dict[str, Pool] = {}
+        self.log = log
+        self.dropped_mark = terms.not_begun_header.encode()
+
+    # Connections
+
+    async def link_to(self, box: str) -> Link | Ending:
+        pool = self.pools.setdefault(box, Pool())
+        link = pool.take()
+        if link is not None:
+            return link
+        if pool.open >= self.terms.links:
+            return Ending.NO_LINK_FREE
+        pool.open += 1
+        try:
+            with anyio.fail_after(self.terms.connect_within):
+                stream = await self.net.connect(box)
+        except BaseException as fault:
+            self.lost(box, pool)
+            if isinstance(fault, TimeoutError):
+                return Ending.CONNECT_LATE
+            if isinstance(fault, OSError):
+                return Ending.CONNECT_REFUSED
+            raise
+        link = Link(stream, anyio.current_time())
+        self.tasks.start_soon(self.keep, box, pool, link)
+        return link
+
+    async def keep(self, box: str, pool: Pool, link: Link) -> None:
+        try:
+            await link.run()
+        finally:
+            if link in pool.idle:
+                pool.idle.remove(link)
+            self.lost(box, pool)
+
+    def lost(self, box: str, pool: Pool) -> None:
+        pool.open -= 1
+        if pool.open == 0 and self.pools.get(box) is pool:
+            del self.pools[box]
+
+    def give_back(self, box: str, link: Link) -> None:
+        """Keep the connection for later if the protocol allows it."""
+        if link.conn.our_state is h11.DONE and link.conn.their_state is h11.DONE and not link.pump.ended:
+            link.conn.start_next_cycle()
+            if not link.conn.trailing_data[0]:
+                link.idle_since = anyio.current_time()
+                self.pools[box].idle.append(link)
+                return
+        link.close()
+
+    async def sweep(self) -> None:
+        """Close what has been idle for the told time."""
+        while True:
+            await anyio.sleep(SWEEP)
+            since = anyio.current_time() - self.terms.link_idle
+            for pool in list(self.pools.values()):
+                for link in [link for link in pool.idle if link.idle_since < since]:
+                    pool.idle.remove(link)
+                    link.close()
+
+    def forget(self, box: str) -> None:
+        """The box is gone: its idle connections are of no use."""
+        pool = self.pools.get(box)
+        if pool is not None:
+            for link in pool.idle:
+                link.close()
+            pool.idle.clear()
+
+    # One try
+
+    async def attempt(
+        self, exchange: Exchange, number: int, box: str, patience: float
+    ) -> tuple[Ending, Answer | None]:
+        """Carry the req to the box and read its answer, for `patience` seconds at most."""
+        progress = Progress()
+        scope = anyio.CancelScope(deadline=anyio.current_time() + patience)
+        exchange.scopes[number] = scope
+        with scope:
+            if exchange.left:
+                return Ending.CLIENT_LEFT, None
+            if exchange.spent:
+                return Ending.BODY_SPENT, None
+            await self.carry(exchange, number, box, progress)
+        del exchange.scopes[number]
+        if progress.ending is None:  # the scope ended it before the answer's last byte was read
+            if exchange.left:
+                return Ending.CLIENT_LEFT, None
+            return Ending.PATIENCE_UNANSWERED if progress.handed else Ending.PATIENCE_CONNECTING, None
+        return progress.ending, progress.answer
+
+    async def carry(self, exchange: Exchange, number: int, box: str, progress: Progress) -> None:
+        link = await self.link_to(box)
+        if isinstance(link, Ending):
+            progress.ending = link
+            return
+        whole = False
+        try:
+            try:
+                await self.write(exchange, link, box, progress)
+            except BROKEN:
+                progress.ending = Ending.WRITE_BROKE if progress.handed else Ending.CONNECT_REFUSED
+                return
+            progress.ending = await self.read(exchange, number, link, progress)
+            whole = progress.ending is Ending.ANSWERED
+        except h11.RemoteProtocolError as fault:
+            too_long = fault.error_status_hint == 431  # noqa: PLR2004 (HTTP: header fields too large)
+            progress.ending = Ending.OVERSIZED if too_long else Ending.NOT_HTTP
+        finally:
+            if exchange.passing is not None and exchange.answer is progress.answer and not whole:
+                exchange.broke = True
+            if whole:
+                self.give_back(box, link)
+            else:
+                link.close()
+
+    async def write(self, exchange: Exchange, link: Link, box: str, progress: Progress) -> None:
+        conn, head = link.conn, exchange.head
+        headers = [pair for pair in passed_on(head.headers) if pair[0] != b"content-length"] + self.mark
+        if not any(name == b"host" for name, _ in headers):
+            headers.append((b"host", box.encode()))
+        framed = head.get("content-length"), head.get("transfer-encoding")
+        if exchange.rest is None:
+            if exchange.body or any(framed):
+                headers.append((b"content-length", b"%d" % len(exchange.body)))
+        elif framed[0]:
+            headers.append((b"content-length", framed[0].encode()))
+        else:
+            headers.append((b"transfer-encoding", b"chunked"))
+        out = (
+            conn.send(h11.Request(method=head.method, target=head.target.encode("latin-1"), headers=headers))
+            or b""
+        )
+        if exchange.body:
+            out += conn.send(h11.Data(data=exchange.body)) or b""
+        if exchange.rest is not None:
+            exchange.spent = True
+            progress.handed = True
+            await link.stream.send(out)
+            async for chunk in exchange.rest():
+                await link.stream.send(conn.send(h11.Data(data=chunk)) or b"")
+            out = b""
+        out += conn.send(h11.EndOfMessage()) or b""
+        if out:
+            progress.handed = True
+            await link.stream.send(out)
+
+    async def event(self, link: Link) -> h11.Event | None:
+        """The next event of the answer; None once the connection has ended before it."""
+        while True:
+            event = link.conn.next_event()
+            if event is h11.NEED_DATA:
+                data = await link.pump.receive()
+                if not data and link.conn.their_state is not h11.SEND_BODY:
+                    return None
+                try:
+                    link.conn.receive_data(data)
+                except RuntimeError:  # ended before, and the answer has a told length
+                    return None
+                if not data and link.conn.their_state is h11.SEND_BODY:
+                    try:
+                        event = link.conn.next_event()
+                    except h11.RemoteProtocolError:
+                        return None
+                    return event if isinstance(event, h11.Event) else None
+            elif isinstance(event, h11.Event):
+                return event
+            else:
+                return None
+
+    async def read(self, exchange: Exchange, number: int, link: Link, progress: Progress) -> Ending:
+        answer = None
+        while answer is None:
+            event = await self.event(link)
+            if event is None or isinstance(event, h11.ConnectionClosed):
+                return Ending.CLOSED_UNANSWERED
+            if isinstance(event, h11.InformationalResponse):
+                if event.status_code == SWITCHING:
+                    return Ending.NOT_HTTP
+            elif isinstance(event, h11.Response):
+                answer = Answer(event.status_code, list(event.headers), b"", bytes(event.reason))
+        progress.answer = answer
+        parts: list[bytes] = []
+        kept = 0
+        most = 0 if exchange.stream and answer.status < 500 else self.terms.answer_kept  # noqa: PLR2004
+        passing = None
+        with anyio.CancelScope() as pause:
+            while True:
+                event = await self.event(link)
+                if isinstance(event, h11.EndOfMessage):
+                    break
+                if not isinstance(event, h11.Data):
+                    return Ending.BROKE_IN_BODY
+                data = bytes(event.data)
+                if passing is None:
+                    parts.append(data)
+                    kept += len(data)
+                    if kept > most and answer.status < 500 and not exchange.settled:  # noqa: PLR2004
+                        passing = exchange.begin(answer, number)
+                        data, parts = b"".join(parts), []
+                    elif kept > most:
+                        return Ending.OVERSIZED
+                if passing is not None:
+                    try:
+                        await passing.send(data)
+                    except BROKEN:
+                        return Ending.CLIENT_LEFT
+                    pause.deadline = anyio.current_time() + READ_WITHIN
+                else:
+                    pause.deadline = inf
+            if passing is not None:
+                passing.close()
+            else:
+                answer.body = b"".join(parts)
+            return Ending.ANSWERED
+        return Ending.BROKE_IN_BODY
+
+    def not_begun(self, headers: Headers) -> bool:
+        """Whether the box says that it did not begin the req."""
+        return any(name == self.dropped_mark for name, _ in headers)
--- /dev/null
+++ b/gullmount/yamlfile.py
@@ -0,0 +1,114 @@
+"""Reads a YAML file into a pydantic model; a fault names file, line, key and what was expected."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any, TypeVar
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+from ruamel.yaml import YAML
+from ruamel.yaml.comments import CommentedMap, CommentedSeq
+from ruamel.yaml.error import MarkedYAMLError, YAMLError
+
+MOST = 1 << 20  # bytes a file may have: larger ones are no description but a mistake
+DEPTH = 40  # levels of nesting: ours need six; a parser without a bound can be made to overflow
+
+Model = TypeVar("Model", bound=BaseModel)
+
+
+class Described(BaseModel):
+    """Base of all that is described in YAML: unknown keys are faults, nothing changes after the start."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=False, allow_inf_nan=False)
+
+
+class BadFile(Exception):
+    """A file that cannot be used; the text is one line a fault: `file:line: key: what was expected`."""
+
+
+def line_of(tree: Any, path: tuple[Any, ...]) -> int:
+    """The line, from 1, of the deepest part of `path` that the file holds."""
+    line = 1
+    for part in path:
+        if isinstance(tree, CommentedMap) and part in tree:
+            line = tree.lc.key(part)[0] + 1
+        elif isinstance(tree, CommentedSeq) and isinstance(part, int) and part < len(tree):
+            line = tree.lc.item(part)[0] + 1
+        elif not isinstance(tree, CommentedMap | CommentedSeq):
+            break
+        else:
+            continue  # a tag of pydantic's, or a key that is missing: the line of what holds it
+        tree = tree[part]
+    return line
+
+
+def plain(tree: Any, depth: int = 0) -> Any:
+    """The same without the parser's own types; raises ValueError where it is nested too deep."""
+    if depth > DEPTH:
+        raise ValueError(f"nested deeper than {DEPTH} levels")
+    if isinstance(tree, dict):
+        return {str(key): plain(value, depth + 1) for key, value in tree.items()}
+    if isinstance(tree, list):
+        return [plain(value, depth + 1) for value in tree]
+    return tree
+
+
+def parse(text: str, name: str, model: type[Model]) -> Model:
+    """Decode `text` into `model`; raises BadFile. `name` stands for the file in what is said."""
+    if text.count("[") + text.count("{") > MOST // 16:
+        raise BadFile(f"{name}:1: too many brackets for a description")
+    try:
+        tree = YAML(typ="rt", pure=True).load(text)
+        data = plain(tree)
+    except MarkedYAMLError as fault:
+        line = fault.problem_mark.line + 1 if fault.problem_mark else 1
+        raise BadFile(f"{name}:{line}: not YAML: {fault.problem}") from None
+    except RecursionError:
+        raise BadFile(f"{name}:1: nested too deep") from None
+    except (
+        YAMLError,
+        ValueError,
+        TypeError,
+        AttributeError,
+        KeyError,
+        OverflowError,
+        AssertionError,
+        NotImplementedError,
+        IndexError,
+    ) as fault:
+        first = (str(fault).splitlines() or ["unreadable"])[0]
+        raise BadFile(f"{name}:1: not YAML: {first}") from None
+    if not isinstance(data, dict):
+        raise BadFile(f"{name}:1: expected a mapping of keys at the top")
+    try:
+        return model.model_validate(data)
+    except ValidationError as fault:
+        raise BadFile("\n".join(explain(fault, tree, name))) from None
+
+
+def explain(fault: ValidationError, tree: Any, name: str) -> list[str]:
+    said = []
+    for error in fault.errors(include_url=False):
+        path = error["loc"]
+        key = ".".join(str(part) for part in path) or "(top)"
+        message = error["msg"].removeprefix("Value error, ")
+        got = error.get("input")
+        simple = isinstance(got, str | int | float | bool) and error["type"] != "missing"
+        shown = f", not {got!r}"[:80] if simple else ""
+        said.append(f"{name}:{line_of(tree, path)}: {key}: {message}{shown}")
+    return said
+
+
+def read(path: Path, model: type[Model]) -> Model:
+    """Read and decode a file; raises BadFile for whatever is wrong with it."""
+    try:
+        with path.open("rb") as file:
+            raw = file.read(MOST + 1)
+        if len(raw) > MOST:
+            raise BadFile(f"{path}:1: larger than {MOST} bytes")
+        text = raw.decode()
+    except OSError as fault:
+        raise BadFile(f"{path}: {fault.strerror}") from None
+    except UnicodeDecodeError as fault:
+        raise BadFile(f"{path}:1: not UTF-8 at byte {fault.start}") from None
+    return parse(text, str(path), model)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -62,6 +62,9 @@
     ([SYNC, TAKE], ["NewRequest", "Who"]),
     ([SYNC, SPAWN, {"verb": "Tally", "Who": 3, "Grade": "g", "Ver": 1, "N": "many"}], ["Tally", "N"]),
     ([[1]], ["verb"]),
+    ([SYNC, {"verb": "Page", "Buffer": 0, "Lines": [7]}], ["Page"]),
+    ([{"verb": "Sync", "TsUs": True}], ["Sync", "TsUs"]),
+    ([SYNC, SPAWN, PAGE, FLEET, TAKE, {**RESULT, "Final": 1}], ["Result", "Final"]),
 ])
 def test_malformed_line_names_verb_and_field(events: list, words: list[str]) -> None:
     with pytest.raises(Malformed) as caught:
@@ -79,3 +82,8 @@
     tally = {"verb": "Tally", "Who": 3, "Grade": "g", "Ver": 2, "N": 0, "Lost": 0, "CostTimeUs": 0,
              "AgeUs": 9}
     assert run(SYNC, SPAWN, told, tally, GO)[-1] == {"verb": "Yield"}
+
+
+def test_line_nested_without_end_is_one_clear_error() -> None:
+    with pytest.raises(Malformed, match="nested too deep"):
+        serve(io.BytesIO(b"[" * 200_000 + b"\n"), io.BytesIO())
