--- a/gullmount/benchlink/link.py
+++ b/gullmount/benchlink/link.py
@@ -79,7 +79,7 @@
     "ReportedWrong": {"Who": int},
 }
 Fields = dict[str, type | tuple[type, ...]]
-STATE_FIELDS: Fields = {"Ver": int, "Step": int, "WhereAt": int, "Allowed": NUMBER}  # valid in an ok state only
+STATE_FIELDS: Fields = {"Ver": int, "Step": int, "WhereAt": int, "Allowed": NUMBER}  # of an ok state
 ENTRY_FIELDS: Fields = {
     "Box": str, "Zone": str, "Bay": int, "Build": int, "Availability": str, "PowerHint": NUMBER,
     "LastStartUs": MAYBE_INT,
