Planted breaches of all five rules are found; what a cut holds up has not been told

A checker that cannot fail proves nothing: eight hosts each break one rule (an answer twice, late, a send after the end, a non-retriable req sent again, a send to a drained box, a flooded cold box, a cap ignored, a ledger forgotten at restart) and each is found and named with its reqs.

--- a/gullmount/standins/launcher.py
+++ b/gullmount/standins/launcher.py
@@ -124,14 +124,20 @@
         await serve(stream, self.answer)
 
     async def answer(self, asked: Asked, stream: Stream) -> Said:
-        umpire = self.party.links.names.get(source_of(stream), "")
+        host = source_of(stream)
+        umpire = self.party.links.names.get(host, "")
         if asked.target.startswith("/v1/news"):
-            return Said(200, lines=self.watch(umpire))
-        return await self.vote(asked, umpire)
-
-    async def watch(self, umpire: str) -> AsyncIterator[bytes]:
+            return Said(200, lines=self.watch(host, umpire))
+        said = await self.vote(asked, umpire)
+        await self.party.links.passable(self.party.zone, host)
+        if said.status == 200:
+            said.body = self.line(umpire, self.told)
+        return said
+
+    async def watch(self, host: str, umpire: str) -> AsyncIterator[bytes]:
         tally_from = len(self.tallies)
         while True:
+            await self.party.links.passable(self.party.zone, host)
             yield self.line(umpire, self.told)
             until = anyio.current_time() + self.terms.push_every
             with anyio.CancelScope(deadline=until):
@@ -184,7 +190,7 @@
             return Said(0, fate="silence")
         if not known:
             return Said(409, b"moot\n")
-        return Said(200, self.line(umpire, self.told))
+        return Said(200)
 
     def standing(self, verdict: str) -> int:
         now = self.record.now()
--- a/gullmount/standins/links.py
+++ b/gullmount/standins/links.py
@@ -123,6 +123,10 @@
         while self.is_cut(here, there):
             await self.mended.wait()
 
+    async def passable(self, here: str, host: str) -> None:
+        """Until what is said here reaches that host: a message held up by a cut has not been told."""
+        await self.whole(here, self.zones.get(host, here))
+
     def mend(self, zone: str) -> None:
         self.cut.discard(zone)
         self.mended.set()
--- a/gullmount/standins/roster.py
+++ b/gullmount/standins/roster.py
@@ -133,15 +133,17 @@
             return Said(503, b"too many calls\n")
         query = parse_qs(urlsplit(asked.target).query)
         after = int(query.get("after", ["0"])[0])
-        umpire = self.party.links.names.get(source_of(stream), "")
-        return Said(200, lines=self.watch(umpire, after))
+        host = source_of(stream)
+        return Said(200, lines=self.watch(host, self.party.links.names.get(host, ""), after))
 
-    async def watch(self, umpire: str, after: int) -> AsyncIterator[bytes]:
+    async def watch(self, host: str, umpire: str, after: int) -> AsyncIterator[bytes]:
         at = after
+        await self.party.links.passable(self.party.zone, host)
         if at <= 0 or at > self.index or (self.changes and self.changes[0][0] > at + 1):
             at = self.index
             yield self.told(umpire, list(self.shown.values()), "full")
         while True:
+            await self.party.links.passable(self.party.zone, host)
             fresh = [entry for index, entry in self.changes if index > at]
             if fresh:
                 if len(fresh) < self.index - at:  # some are no longer kept
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from pathlib import Path
 
 import msgspec
@@ -10,13 +11,18 @@
 from gullmount.checker import Finding, Summary, check, summarize
 from gullmount.days.run import run
 from gullmount.days.terms import DayTerms
+from gullmount.umpire import RunningUmpire
+from gullmount.umpire.front import Front
 from gullmount.yamlfile import read
+from tests import planted
 
 DAYS = Path(__file__).parent.parent / "days"
 
 
-def played(name: str, seed: int, virtual: bool = True) -> tuple[list[Finding], Summary, bytes]:
-    about, lines = run(read(DAYS / f"{name}.yaml", DayTerms), seed, virtual, "127.99")
+def played(
+    name: str, seed: int, virtual: bool = True, start: type[RunningUmpire] = RunningUmpire
+) -> tuple[list[Finding], Summary, bytes]:
+    about, lines = run(read(DAYS / f"{name}.yaml", DayTerms), seed, virtual, "127.99", start)
     events = [msgspec.json.decode(line) for line in lines.splitlines()]
     return check(about, events), summarize(about, events), lines
 
@@ -37,3 +43,34 @@
 def test_same_seed_same_record() -> None:
     first, second, other = (played("first", seed)[2] for seed in (3, 3, 4))
     assert first == second != other
+
+
+@pytest.fixture
+def answers() -> Iterator[None]:
+    told = Front.answer
+    yield
+    Front.answer = told  # type: ignore[method-assign]
+
+
+@pytest.mark.parametrize(("host", "rule", "words"), [
+    (planted.AnswersTwice, "no req lost", "none of the three"),
+    (planted.AnswersLate, "no req lost", "after the client's time"),
+    (planted.SendsOn, "no req lost", "after its final answer"),
+    (planted.SendsAgain, "no effect twice", "may have run"),
+    (planted.IgnoresDrains, "drains kept", "after told draining"),
+    (planted.FloodsColdBoxes, "no cold box pushed over", "are borne"),
+    (planted.IgnoresCap, "exposure within the cap", "allowed"),
+    (planted.ForgetsExposure, "exposure within the cap", "allowed"),
+])
+def test_planted_breach_is_found(host: type[RunningUmpire], rule: str, words: str, answers: None) -> None:
+    findings, _, _ = played("planted", 1, start=host)
+    found = {finding.rule: finding.breaches for finding in findings}
+    told = [breach for breach in found[rule] if words in breach.what]
+    assert told, breaches(findings)
+    assert all(breach.reqs and "umpire" in breach.umpire for breach in told)
+
+
+def test_planted_day_is_clean_without_a_plant() -> None:
+    findings, _, _ = played("planted", 1)
+    assert breaches(findings) == []
+    assert all(sum(finding.checked.values()) for finding in findings)
