--- a/gullmount/umpire/front.py
+++ b/gullmount/umpire/front.py
@@ -11,7 +11,7 @@
 
 from gullmount.net import BROKEN, Stream
 from gullmount.umpire.exchange import Exchange
-from gullmount.umpire.messages import OURS, Answer, Head, framing_fault, passed_on
+from gullmount.umpire.messages import OURS, Answer, Head, framing_fault, passed_on, repeated_length
 from gullmount.umpire.pump import Pump
 
 if TYPE_CHECKING:
@@ -56,6 +56,7 @@
         self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=self.terms.head_most)
         self.exchange: Exchange | None = None
         self.idle = True  # between reqs
+        self.raw = b""  # what came of a head that is not read yet
 
     def ended(self) -> None:
         if self.exchange is not None:
@@ -114,6 +115,8 @@
                 if self.conn.they_are_waiting_for_100_continue:
                     await self.write(self.conn.send(h11.InformationalResponse(status_code=100, headers=[])))
                 data = await self.pump.receive()
+                if self.idle or self.raw:
+                    self.raw += data
                 self.idle = False
                 if not data:
                     raise Gone
@@ -122,13 +125,15 @@
 
     async def take(self) -> Exchange:
         """Read the next req and hand it to the module; raises Unfit, Gone or h11.RemoteProtocolError."""
-        self.idle = not self.conn.trailing_data[0]
+        self.raw = self.conn.trailing_data[0]
+        self.idle = not self.raw
         event = await self.event(self.terms.idle)
         arrived = self.host.now()
         self.idle = False
         if not isinstance(event, h11.Request):
             raise Gone
-        fault = framing_fault(list(event.headers))
+        fault = framing_fault(list(event.headers)) or repeated_length(self.raw)
+        self.raw = b""
         if fault is not None:
             raise Unfit(400, fault)
         if event.method in (b"CONNECT", b"TRACE"):
--- a/gullmount/umpire/upstream.py
+++ b/gullmount/umpire/upstream.py
@@ -265,7 +265,7 @@
         parts: list[bytes] = []
         kept = 0
         most = 0 if exchange.stream and answer.status < 500 else self.terms.answer_kept  # noqa: PLR2004
-        passing = None
+        passing = exchange.begin(answer, number) if most == 0 and not exchange.settled else None
         with anyio.CancelScope() as pause:
             while True:
                 event = await self.event(link)
--- /dev/null
+++ b/tests/edge.py
@@ -0,0 +1,221 @@
+"""One umpire on a network of its own, with boxes and clients that are scripted byte by byte."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import anyio
+import msgspec
+import trio.testing
+
+from gullmount.net import BROKEN, MemoryNet, Net, Stream, TcpNet
+from gullmount.umpire import RunningUmpire, UmpireTerms
+
+BoxScript = Callable[[Stream], Awaitable[None]]
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+FULL = b"HTTP/1.1 503 Busy\r\nx-not-begun: 1\r\ncontent-length: 0\r\n\r\n"
+HOST = "127.88.0.1"
+
+
+def terms(**changes: Any) -> UmpireTerms:
+    told = {
+        "number": 0,
+        "of": 1,
+        "zone": "a",
+        "listen": f"{HOST}:8000",
+        "seed": 5,
+        "roster": {"address": f"{HOST}:7001"},
+        "launcher": {"address": f"{HOST}:7002"},
+        "routes": [
+            {
+                "name": "pay",
+                "match": {"path": "/pay*"},
+                "objective": 0.5,
+                "timeout": 2,
+                "repeats": "non_retriable",
+            },
+            {
+                "name": "mark",
+                "match": {"path": "/mark*"},
+                "objective": 0.5,
+                "timeout": 2,
+                "repeats": "deduped",
+                "dedupe_window": 3,
+                "dedupe_mark": "x-mark",
+            },
+            {
+                "name": "flow",
+                "match": {"path": "/flow*"},
+                "objective": 0.5,
+                "timeout": 2,
+                "repeats": "retriable",
+                "stream": True,
+            },
+            {
+                "name": "look",
+                "match": {"path": "/look*"},
+                "objective": 0.5,
+                "timeout": 2,
+                "repeats": "retriable",
+            },
+        ],
+        "boxes": {
+            "cold_share": 0.3,
+            "warm_time": 3,
+            "tip_multiple": 3,
+            "max_tries": 4,
+            "connect_within": 0.2,
+        },
+        "releases": {
+            "caps": [0.1, 1.0],
+            "window": 3,
+            "spare_tries": 2,
+            "vote_life": 4,
+            "to_advance": 1,
+            "back_votes": 1,
+            "votes_per_s": 50,
+        },
+    }
+    return UmpireTerms.model_validate({**told, **changes})
+
+
+class Edge:
+    """The scripted surroundings; `seen` holds what each box read, in order of connections."""
+
+    def __init__(self, net: Net, umpire: RunningUmpire) -> None:
+        self.net = net
+        self.umpire = umpire
+        self.seen: list[tuple[str, bytes]] = []
+        self.outcomes: list[str] = []
+
+    async def client(self) -> Stream:
+        return await self.net.connect(self.umpire.terms.listen)
+
+    async def ask(self, data: bytes, within: float = 5.0) -> bytes:
+        """Send `data`, and all that comes back until the connection ends or falls silent."""
+        stream = await self.client()
+        await stream.send(data)
+        return await self.rest(stream, within)
+
+    async def rest(self, stream: Stream, within: float = 5.0) -> bytes:
+        got = b""
+        with anyio.move_on_after(within):
+            try:
+                while True:
+                    got += await stream.receive()
+            except BROKEN:
+                pass
+        await stream.aclose()
+        return got
+
+
+async def lines(stream: Stream, *told: dict[str, Any]) -> None:
+    """A watch: the head, then each message as a chunk; stays open."""
+    await stream.receive()
+    out = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+    for message in told:
+        line = msgspec.json.encode({"v": 1, **message}) + b"\n"
+        out += b"%x\r\n%s\r\n" % (len(line), line)
+    await stream.send(out)
+    await anyio.sleep_forever()
+
+
+@asynccontextmanager
+async def edge(net: Net, scripts: dict[str, BoxScript], **changes: Any) -> AsyncIterator[Edge]:
+    """An umpire that knows one box for each script, by name of its port."""
+    boxes = [
+        {
+            "box": f"{HOST}:{port}",
+            "zone": "a",
+            "cell": 0,
+            "build": 1,
+            "state": "ready",
+            "power": 1.0,
+            "start": None,
+            "age": None,
+        }
+        for port in scripts
+    ]
+
+    async def roster(stream: Stream) -> None:
+        await lines(stream, {"kind": "full", "index": 1, "boxes": boxes})
+
+    async def launcher(stream: Stream) -> None:
+        await lines(stream, {"news": {"build": 1, "stage": 1, "phase": "released", "cap": 1.0}})
+
+    async with anyio.create_task_group() as tasks:
+
+        async def serve(address: str, script: BoxScript) -> None:
+            started = anyio.Event()
+            tasks.start_soon(net.serve, address, script, started)
+            await started.wait()
+
+        await serve(f"{HOST}:7001", roster)
+        await serve(f"{HOST}:7002", launcher)
+        async with RunningUmpire(terms(**changes), net=net) as umpire:
+            made = Edge(net, umpire)
+            ended = umpire.host.umpire.try_ended
+
+            def note(req: Any, number: int, outcome: Any, latency: float, final: bool) -> None:
+                made.outcomes.append(outcome.value)
+                ended(req, number, outcome, latency, final)
+
+            umpire.host.umpire.try_ended = note  # type: ignore[method-assign]
+            for port, script in scripts.items():
+
+                async def noted(stream: Stream, port: str = port, script: BoxScript = script) -> None:
+                    try:
+                        await script(Noting(stream, port, made))
+                    except BROKEN:
+                        pass
+                    await anyio.aclose_forcefully(stream)
+
+                if script is not refused:
+                    await serve(f"{HOST}:{port}", noted)
+            with anyio.fail_after(5):
+                await umpire.listening.wait()
+            yield made
+        tasks.cancel_scope.cancel()
+
+
+class Noting(Stream):
+    """A box's end of a connection that notes what it reads."""
+
+    def __init__(self, inner: Stream, port: str, made: Edge) -> None:
+        self.inner, self.port, self.made = inner, port, made
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        data = await self.inner.receive(max_bytes)
+        self.made.seen.append((self.port, data))
+        return data
+
+    async def send(self, item: bytes) -> None:
+        await self.inner.send(item)
+
+    async def send_eof(self) -> None:
+        await self.inner.send_eof()
+
+    async def aclose(self) -> None:
+        await self.inner.aclose()
+
+    def extra(self, *args: Any) -> Any:
+        return self.inner.extra(*args)
+
+    @property
+    def abort(self) -> Any:
+        return self.inner.abort  # type: ignore[attr-defined]
+
+
+async def refused(stream: Stream) -> None:
+    """Stands for a box that nobody runs."""
+
+
+def play(virtual: bool, scene: Callable[[Net], Awaitable[None]]) -> None:
+    """Run a scene in memory and virtual time, or on sockets."""
+    if virtual:
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        anyio.run(scene, MemoryNet(), backend="trio", backend_options={"clock": clock})
+    else:
+        anyio.run(scene, TcpNet(), backend="asyncio")
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -28,7 +28,9 @@
 
 
 def breaches(findings: list[Finding]) -> list[str]:
-    return [f"{one.t} {one.umpire}: {one.what} {one.reqs}" for finding in findings for one in finding.breaches]
+    return [
+        f"{one.t} {one.umpire}: {one.what} {one.reqs}" for finding in findings for one in finding.breaches
+    ]
 
 
 @pytest.mark.parametrize("virtual", [True, False])
@@ -52,16 +54,19 @@
     Front.answer = told  # type: ignore[method-assign]
 
 
-@pytest.mark.parametrize(("host", "rule", "words"), [
-    (planted.AnswersTwice, "no req lost", "none of the three"),
-    (planted.AnswersLate, "no req lost", "after the client's time"),
-    (planted.SendsOn, "no req lost", "after its final answer"),
-    (planted.SendsAgain, "no effect twice", "may have run"),
-    (planted.IgnoresDrains, "drains kept", "after told draining"),
-    (planted.FloodsColdBoxes, "no cold box pushed over", "are borne"),
-    (planted.IgnoresCap, "exposure within the cap", "allowed"),
-    (planted.ForgetsExposure, "exposure within the cap", "allowed"),
-])
+@pytest.mark.parametrize(
+    ("host", "rule", "words"),
+    [
+        (planted.AnswersTwice, "no req lost", "none of the three"),
+        (planted.AnswersLate, "no req lost", "after the client's time"),
+        (planted.SendsOn, "no req lost", "after its final answer"),
+        (planted.SendsAgain, "no effect twice", "may have run"),
+        (planted.IgnoresDrains, "drains kept", "after told draining"),
+        (planted.FloodsColdBoxes, "no cold box pushed over", "are borne"),
+        (planted.IgnoresCap, "exposure within the cap", "allowed"),
+        (planted.ForgetsExposure, "exposure within the cap", "allowed"),
+    ],
+)
 def test_planted_breach_is_found(host: type[RunningUmpire], rule: str, words: str, answers: None) -> None:
     findings, _, _ = played("planted", 1, start=host)
     found = {finding.rule: finding.breaches for finding in findings}
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,202 @@
+"""The command as a process: its exit codes, a stop by signal, a kill and the next life."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.edge import terms
+
+HOST = "127.91.0.1"
+BOXES = [
+    {
+        "box": f"{HOST}:9001",
+        "zone": "a",
+        "cell": 0,
+        "build": 1,
+        "state": "ready",
+        "power": 1.0,
+        "start": None,
+        "age": None,
+    }
+]
+
+
+def run(*args: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "gullmount", *args]
+    return subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
+
+
+def chunk(message: dict) -> bytes:
+    line = json.dumps({"v": 1, **message}).encode() + b"\n"
+    return b"%x\r\n%s\r\n" % (len(line), line)
+
+
+WATCH = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+SCRIPTS = {
+    7001: WATCH + chunk({"kind": "full", "index": 1, "boxes": BOXES}),
+    7002: WATCH + chunk({"news": {"build": 1, "stage": 1, "phase": "released", "cap": 1.0}}),
+}
+
+
+class Surroundings:
+    """Roster, launcher and one slow box, each connection in a thread."""
+
+    def __init__(self) -> None:
+        self.listeners: dict[int, socket.socket] = {}
+        for port in (7001, 7002, 9001):
+            self.listen(port)
+
+    def listen(self, port: int) -> None:
+        listener = socket.create_server((HOST, port))
+        self.listeners[port] = listener
+        threading.Thread(target=self.accept, args=(port, listener), daemon=True).start()
+
+    def accept(self, port: int, listener: socket.socket) -> None:
+        while True:
+            try:
+                stream, _ = listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(port, stream), daemon=True).start()
+
+    def serve(self, port: int, stream: socket.socket) -> None:
+        try:
+            while stream.recv(65536):
+                if port in SCRIPTS:
+                    stream.sendall(SCRIPTS[port])
+                else:
+                    time.sleep(0.4)
+                    stream.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+        except OSError:
+            pass
+
+    def close(self, port: int) -> None:
+        listener = self.listeners.pop(port, None)
+        if listener is not None:
+            listener.shutdown(socket.SHUT_RDWR)
+            listener.close()
+
+
+@pytest.fixture
+def around() -> Iterator[Surroundings]:
+    made = Surroundings()
+    yield made
+    for port in list(made.listeners):
+        made.close(port)
+
+
+@pytest.fixture
+def file(tmp_path: Path) -> Path:
+    path = tmp_path / "umpire.yaml"
+    told = terms(
+        listen=f"{HOST}:8000",
+        remembered=str(tmp_path / "boxes.json"),
+        roster={"address": f"{HOST}:7001"},
+        launcher={"address": f"{HOST}:7002"},
+    )
+    path.write_text(told.model_dump_json())
+    return path
+
+
+def started(file: Path) -> subprocess.Popen[bytes]:
+    command = [sys.executable, "-m", "gullmount", "umpire", str(file)]
+    process = subprocess.Popen(command, stderr=subprocess.PIPE)
+    assert process.stderr is not None
+    for line in process.stderr:
+        if json.loads(line)["event"] == "listening":
+            break
+    for _ in range(100):
+        try:
+            socket.create_connection((HOST, 8000)).close()
+            return process
+        except OSError:
+            time.sleep(0.05)
+    raise AssertionError("does not listen")
+
+
+def ask(stream: socket.socket) -> None:
+    stream.sendall(b"POST /pay HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n\r\na")
+
+
+def test_signal_answers_what_was_taken_and_exits_with_0(around: Surroundings, file: Path) -> None:
+    process = started(file)
+    with socket.create_connection((HOST, 8000)) as stream:
+        ask(stream)
+        time.sleep(0.15)
+        process.send_signal(signal.SIGTERM)
+        got = b""
+        while data := stream.recv(65536):
+            got += data
+    assert got.startswith(b"HTTP/1.1 200") and got.count(b"HTTP/1.1") == 1
+    assert process.wait(10) == 0
+
+
+def test_killed_umpire_serves_again_from_its_remembered_list(around: Surroundings, file: Path) -> None:
+    process = started(file)
+    time.sleep(0.3)
+    os.kill(process.pid, signal.SIGKILL)
+    process.wait(10)
+    around.close(7001)
+    around.close(7002)
+    process = started(file)
+    try:
+        with socket.create_connection((HOST, 8000)) as stream:
+            ask(stream)
+            assert stream.recv(65536).startswith(b"HTTP/1.1 200")
+    finally:
+        process.kill()
+        process.wait(10)
+
+
+def test_torn_memory_is_said_and_does_not_stop_the_start(around: Surroundings, file: Path) -> None:
+    (file.parent / "boxes.json").write_text('{"v": 1, "boxes": [{"box"')
+    process = started(file)
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(10) == 0
+
+
+def test_address_in_use_is_one_clear_error(around: Surroundings, file: Path) -> None:
+    with socket.create_server((HOST, 8000)):
+        result = run("umpire", str(file))
+    assert result.returncode == 2
+    assert "Traceback" not in result.stderr and "in use" in result.stderr
+
+
+def test_bad_files_exit_with_2_and_name_the_line(tmp_path: Path) -> None:
+    bad = tmp_path / "bad.yaml"
+    bad.write_text("name: x\nlength: -1\n")
+    for args in (
+        ("check", str(bad)),
+        ("umpire", str(bad)),
+        ("day", "run", str(bad)),
+        ("day", "check", str(bad)),
+    ):
+        result = run(*args)
+        assert result.returncode == 2, args
+        assert "Traceback" not in result.stderr
+        assert str(bad) in result.stderr
+
+
+def test_day_record_can_be_checked_again(tmp_path: Path) -> None:
+    day = str(Path(__file__).parent.parent / "days" / "first.yaml")
+    first = run("day", "run", day, "--virtual", "--json", "--record", str(tmp_path))
+    again = run("day", "check", str(tmp_path), "--json")
+    assert first.returncode == again.returncode == 0
+    assert json.loads(first.stdout) == json.loads(again.stdout)
+    lines = (tmp_path / "record.jsonl").read_text().splitlines()
+    twice = next(line for line in lines if '"ev":"got"' in line)
+    (tmp_path / "record.jsonl").write_text("\n".join([*lines, twice]))
+    broken = run("day", "check", str(tmp_path), "--json")
+    assert broken.returncode == 1
+    assert not json.loads(broken.stdout)["kept"]
