--- a/gullmount/cli.py
+++ b/gullmount/cli.py
@@ -18,6 +18,7 @@
 
 from gullmount import __version__
 from gullmount.checker import Finding, Summary, check, summarize
+from gullmount.days import from_bench
 from gullmount.days import run as days
 from gullmount.days.terms import DayTerms
 from gullmount.net import TcpNet
@@ -154,6 +155,28 @@
         sys.exit(BAD_INPUT)
 
 
+@day.command("from-bench")
+@click.argument("file", type=Path_)
+@click.option("-o", "--out", type=Path_, required=True, help="Where the day's YAML goes.")
+def day_from_bench(file: Path, out: Path) -> None:
+    """Turn a bench's day FILE (JSON) into a day of ours; what has no counterpart is named.
+
+    \b
+    gullmount day from-bench DAY.json -o day.yaml && gullmount day run day.yaml --virtual
+    """
+    try:
+        made, left = from_bench.convert(file.read_bytes())
+        out.write_text(from_bench.dump(made))
+    except OSError as fault:
+        click.echo(f"{fault.filename}: {fault.strerror}", err=True)
+        sys.exit(BAD_INPUT)
+    except from_bench.NotADay as fault:
+        click.echo(f"{file}: {fault}", err=True)
+        sys.exit(BAD_INPUT)
+    for what in left:
+        click.echo(f"left out: {what}", err=True)
+
+
 def tell(about: dict[str, Any], events: list[dict[str, Any]], as_json: bool) -> None:
     findings, summary = check(about, events), summarize(about, events)
     broken = any(finding.breaches for finding in findings)
