Keys that met a build are bounded: beyond 200000 the share stands for them

An umpire lives for weeks; on a trial and, where keys may not return, after a release each distinct key was kept for ever. They are now kept by place, at most 200000; beyond that all keys below the widest share count as having met the newest build, so that none may go back that met it.

--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -103,6 +103,7 @@
 RETRY_ROOM = 40.0  # further tries saved up at most by all umpires together; each at least one
 COME_BACK = 0.25  # s asked of a client that is shed: about the time a jam of one objective needs to move
 ASK_AGAIN = 2.0  # s before a list that refused is asked again, half as much or more by chance
+MET_MOST = 200_000  # keys remembered to have met a build, some 25 MB; beyond them the share stands for them
 RATE_OVER = 5.0  # s over which the rate of answers is taken; long enough for umpires with a few a second
 
 TAKEN_OFF = (Phase.GOING_BACK, Phase.WITHDRAWN)
@@ -213,7 +214,9 @@
         self.ledgers: dict[str, Ledger] = defaultdict(Ledger)
         self.share = 0.0
         self.share_at = self.born
-        self.met: dict[str, int] = {}
+        self.met: dict[float, int] = {}  # by the key's place: the latest build that answered it
+        self.crowded = False  # whether more keys met the build than are remembered one by one
+        self.widest = 0.0  # the largest share the newest build has had
         self.failing: set[str] = set()
         self.seen: dict[tuple[int, str], deque[Seen]] = defaultdict(deque)
         self.calm: Times = {}
@@ -269,11 +272,13 @@
             self.counts = Counts()
             self.calm = {}
             self.slowed = 0.0
+            self.crowded, self.widest = False, 0.0
         if sum(map(len, self.calm.values())) < self.proof.slow_least:
             # An umpire started during the trial has no times from before: its first ones must do.
             self.calm = samples.times_since(self.seen, 0.0)
         if phase in TAKEN_OFF:
-            self.met = {key: met for key, met in self.met.items() if met != build}
+            self.met = {place: met for place, met in self.met.items() if met != build}
+            self.crowded = False
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
         self.share = min(self.share, cap)
 
@@ -330,7 +335,7 @@
         if outcome is Outcome.COMPLETED:
             kept = self.phase is Phase.ON_TRIAL or (self.release.one_way and self.phase is Phase.RELEASED)
             if req.key is not None and kept:
-                self.met[req.key] = max(made.build, self.met.get(req.key, -1))
+                self.remember(req, made.build)
             self.answered.append(now)
             drop_before(self.answered, now - RATE_OVER)
         if outcome not in PROVES_UNRUN and req.group_of is None:
@@ -338,6 +343,27 @@
         if not req.settled and not req.open_tries:
             self.advance(req)
 
+    def remember(self, req: Req, build: int) -> None:
+        """The key met the build.
+
+        Guards against memory without bound. Among too many keys all those below the widest share count as
+        having met the newest build, which the hash has made true of most; only others are remembered. Harm:
+        where keys may not go back, some that never met the build are shed once its ledger is full.
+        """
+        self.met[req.place] = max(build, self.met.get(req.place, -1))
+        if len(self.met) > MET_MOST:
+            self.crowded = True
+            self.met = {place: met for place, met in self.met.items() if place >= self.widest}
+            if len(self.met) > MET_MOST / 2:
+                self.met, self.widest = {}, 1.0
+
+    def met_by(self, req: Req) -> int:
+        """The latest build that the req's key met, as far as is known; -1 for none."""
+        if req.key is None:
+            return -1
+        met = self.met.get(req.place, -1)
+        return max(met, self.build) if self.crowded and req.place < self.widest else met
+
     def advance(self, req: Req) -> None:
         """Send the req on, or end it at once: a req that is given up is never sat on."""
         now = self.host.now()
@@ -397,7 +423,7 @@
         return route.group is Group.ALL or box.cell == first[1]
 
     def build_allowed(self, req: Req, box: Box, now: float) -> bool:
-        if self.release.one_way and req.key is not None and self.met.get(req.key, -1) > box.build:
+        if self.release.one_way and self.met_by(req) > box.build:
             return False
         if not self.on_trial(box.build):
             return True
@@ -456,6 +482,7 @@
         aim = min(max(even, aim) if cap >= 1 else aim, CROWD * even)
         step = (now - self.share_at) / RAMP * CAP_USE * cap
         self.share = min(max(self.share, min(aim, self.share + step)), cap)
+        self.widest = max(self.widest, self.share)
         self.share_at = now
 
     def pick(self, req: Req, now: float) -> Box | None:
@@ -467,7 +494,7 @@
         wants_trial = req.place < self.share and req.route.name not in self.failing
         if req.tries and self.on_trial(req.tries[-1].build):
             wants_trial = False
-        if req.key is not None and self.met.get(req.key, -1) == self.build:
+        if req.key is not None and self.met_by(req) == self.build:
             wants_trial = self.release.one_way or req.route.name not in self.failing
         roomy = {rev for rev in self.pools if self.has_room(rev)}
         if wants_trial and not req.tries and any(self.on_trial(rev) for rev in self.pools.keys() - roomy):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -4,8 +4,11 @@
 
 import random
 
+import pytest
+
+from gullmount import policy
 from gullmount.interface import BoxState, ListKind, Outcome, Phase, Verdict
-from gullmount.samples import Seen
+from gullmount.samples import Seen, place
 from tests.helpers import Bench
 
 EARLIER = {f"a{n}": 1 for n in range(8)}
@@ -280,7 +283,7 @@
 
 def test_one_way_key_is_tried_again_on_the_build_that_answered_it() -> None:
     bench = on_trial(one_way=True)
-    bench.umpire.met["k"] = 2
+    bench.umpire.met[place("k")] = 2
     req = bench.take("look", "k")
     bench.finish(req, Outcome.FULL)
     assert [box[0] for _, box, _ in bench.sends] == ["b", "b"]
@@ -303,3 +306,34 @@
     bench.list_boxes({"a0": 1}, state=BoxState.DRAINING)
     bench.take("pay")
     assert bench.answers == {"r1": ["shed"], "r2": ["shed"]}
+
+
+def test_keys_that_met_a_build_are_bounded_and_stay_on_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(policy, "MET_MOST", 50)
+    bench = on_trial(one_way=True, spare_tries=1e9)
+    met: set[str] = set()
+    for number in range(1200):
+        req = bench.take("look", f"k{number}")
+        if bench.sends[-1][0] == req.id and bench.sends[-1][1].startswith("b"):
+            met.add(f"k{number}")
+        bench.finish(req)
+        bench.pass_time(0.02)
+    assert len(met) > 150 and len(bench.umpire.met) <= 51
+    for key in sorted(met):
+        before = len(bench.sends)
+        bench.finish(bench.take("look", key))
+        assert all(box.startswith("b") for _, box, _ in bench.sends[before:])
+        bench.pass_time(0.02)
+
+
+def test_after_a_restart_nothing_goes_to_a_trial_for_one_window() -> None:
+    for restarted in (True, False):
+        bench = Bench(restarted=restarted)
+        bench.list_boxes({"b0": 2})
+        bench.trial()
+        for step in range(40):
+            bench.finish(bench.take())
+            bench.pass_time(0.1)
+            if step == 25:
+                assert bool(bench.sends) is not restarted
+        assert bench.sends
