--- a/gullmount/standins/links.py
+++ b/gullmount/standins/links.py
@@ -101,6 +101,7 @@
         self.message_delay = (0.001, 0.005)
         self.message_loss = 0.0
         self.messages_down = False
+        self.handshakes: dict[str, Callable[[], float]] = {}  # by address: s until a connection stands
         self.zones: dict[str, str] = {}  # by host
         self.names: dict[str, str] = {}  # by host
 
@@ -155,6 +156,12 @@
             inner = await links.base.connect(address, self.host)
         else:
             inner = await self.tcp.connect(address)
+        if address in links.handshakes:
+            try:
+                await anyio.sleep(links.handshakes[address]())
+            except BaseException:
+                await abort(inner)
+                raise
         return self.hold(LinkedStream(inner, links, self.zone, there))
 
     def hold(self, stream: Stream) -> Stream:
