--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -336,3 +336,39 @@
                 await made.client()
 
     play(virtual, scene)
+
+
+@both
+def test_client_that_leaves_in_a_begun_answer_calls_its_try_off(virtual: bool) -> None:
+    async def scene(net: Net) -> None:
+        async def drips(stream: Stream) -> None:
+            await stream.receive()
+            await stream.send(b"HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\n")
+            while True:
+                await stream.send(b"d" * 10)
+                await anyio.sleep(0.02)
+
+        async with edge(net, {"9001": drips}) as made:
+            stream = await made.client()
+            await stream.send(FLOW)
+            await stream.receive()
+            await abort(stream)
+            await anyio.sleep(0.3)
+            assert made.outcomes == ["cancelled"]
+            assert not made.umpire.host.exchanges and not made.umpire.connections
+
+    play(virtual, scene)
+
+
+@both
+def test_connections_are_bounded(virtual: bool) -> None:
+    async def scene(net: Net) -> None:
+        async with edge(net, {"9001": says(OK)}, clients={"connections": 2}) as made:
+            held = [await made.client() for _ in range(2)]
+            await anyio.sleep(0.05)
+            assert await made.ask(LOOK, 0.5) == b""
+            await held[0].aclose()
+            await anyio.sleep(0.05)
+            assert b" 200 " in await made.ask(LOOK, 0.3)
+
+    play(virtual, scene)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -26,3 +26,11 @@
     assert breaches(findings) == []
     if name in SENT_BACK:
         assert summary.builds[2].fate in ("going_back", "withdrawn")
+
+
+@pytest.mark.parametrize("name", sorted(path.stem for path in (DAYS / "terms").glob("*.yaml")))
+def test_rules_are_kept_under_other_terms(name: str) -> None:
+    findings, summary, _ = played(str(Path("terms") / name), 1)
+    assert breaches(findings) == []
+    assert summary.builds[2].fate == "released"
+    assert all(sum(finding.checked.values()) for finding in findings)
