--- a/gullmount/umpire/messages.py
+++ b/gullmount/umpire/messages.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Iterable, Sequence
 from urllib.parse import unquote
 
@@ -25,8 +24,6 @@
     }
 )  # RFC 9110, 7.6.1, and what is between this hop and its client only
 OURS = b"gullmount-answer"  # says completed, shed or errored; a box's own is taken off
-LENGTH = re.compile(rb"^content-length[ \t]*:", re.IGNORECASE | re.MULTILINE)
-END_OF_HEAD = re.compile(rb"\r?\n\r?\n")
 KEY_MOST = 256  # characters of a key that count: a hostile one must not fill the memory
 TEXTS = {503: b"shed, try again later\n", 502: b"errored\n", 504: b"errored, in time for the client\n"}
 REASONS = {502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
@@ -82,19 +79,13 @@
         return "both Content-Length and Transfer-Encoding"
     if len(lengths) > 1 or any(b"," in value for value in lengths):
         return "more than one Content-Length"
-    if len(codings) > 1:
-        return "more than one Transfer-Encoding"
+    if len(codings) > 1 or any(value.lower() != b"chunked" for value in codings):
+        return "a Transfer-Encoding other than chunked"
     if sum(name == b"host" for name, _ in headers) > 1:
         return "more than one Host"
     return None
 
 
-def repeated_length(raw: bytes) -> str | None:
-    """The same for a length said twice alike, which the parser folds into one. `raw` begins with a head."""
-    head = END_OF_HEAD.split(raw, maxsplit=1)[0]
-    return "more than one Content-Length" if len(LENGTH.findall(head)) > 1 else None
-
-
 def cookie(head: Head, name: str) -> str | None:
     for field, value in head.headers:
         if field == b"cookie":
--- a/gullmount/umpire/upstream.py
+++ b/gullmount/umpire/upstream.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 import anyio
-import h11
 from anyio.abc import TaskGroup
 
 from gullmount.net import BROKEN, Net, Stream
@@ -15,6 +14,17 @@
 from gullmount.umpire.outcomes import Ending
 from gullmount.umpire.pump import Pump
 from gullmount.umpire.terms import BoxTerms
+from gullmount.umpire.wire import (
+    END,
+    INFORMATIONAL,
+    LAST_CHUNK,
+    AnswerReader,
+    End,
+    Fault,
+    Part,
+    chunk,
+    req_head,
+)
 
 SWEEP = 1.0  # s between looks for idle connections: they may stand this much longer than told
 HEAD_MOST = 65536  # bytes of an answer's head: twice what common servers send at most
@@ -28,7 +38,8 @@
     def __init__(self, stream: Stream, now: float) -> None:
         self.stream = stream
         self.pump = Pump(stream)
-        self.conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_MOST)
+        self.reader = AnswerReader(HEAD_MOST, "GET")
+        self.written = False  # whether the req under way was written to its end
         self.scope = anyio.CancelScope()
         self.idle_since = now
 
@@ -122,13 +133,12 @@
 
     def give_back(self, box: str, link: Link) -> None:
         """Keep the connection for later if the protocol allows it."""
-        if link.conn.our_state is h11.DONE and link.conn.their_state is h11.DONE and not link.pump.ended:
-            link.conn.start_next_cycle()
-            if not link.conn.trailing_data[0]:
-                link.idle_since = anyio.current_time()
-                self.pools[box].idle.append(link)
-                return
-        link.close()
+        clean = not link.pump.ended and not link.pump.chunks and not link.reader.parts
+        if link.written and link.reader.keep and link.reader.fault is None and clean:
+            link.idle_since = anyio.current_time()
+            self.pools[box].idle.append(link)
+        else:
+            link.close()
 
     async def sweep(self) -> None:
         """Close what has been idle for the told time."""
@@ -184,8 +194,8 @@
                 return
             progress.ending = await self.read(exchange, number, link, progress)
             whole = progress.ending is Ending.ANSWERED
-        except h11.RemoteProtocolError as fault:
-            too_long = fault.error_status_hint == 431  # noqa: PLR2004 (HTTP: header fields too large)
+        except Fault as fault:
+            too_long = fault.status == 431  # noqa: PLR2004 (HTTP: header fields too large)
             progress.ending = Ending.OVERSIZED if too_long else Ending.NOT_HTTP
         finally:
             if exchange.passing is not None and exchange.answer is progress.answer and not whole:
@@ -196,7 +206,9 @@
                 link.close()
 
     async def write(self, exchange: Exchange, link: Link, box: str, progress: Progress) -> None:
-        conn, head = link.conn, exchange.head
+        head = exchange.head
+        link.reader, link.written = AnswerReader(HEAD_MOST, head.method), False
+        chunked = False
         headers = [pair for pair in passed_on(head.headers) if pair[0] != b"content-length"] + self.mark
         if not any(name == b"host" for name, _ in headers):
             headers.append((b"host", box.encode()))
@@ -208,58 +220,42 @@
             headers.append((b"content-length", framed[0].encode()))
         else:
             headers.append((b"transfer-encoding", b"chunked"))
-        out = (
-            conn.send(h11.Request(method=head.method, target=head.target.encode("latin-1"), headers=headers))
-            or b""
-        )
-        if exchange.body:
-            out += conn.send(h11.Data(data=exchange.body)) or b""
-        if exchange.rest is not None:
+            chunked = True
+        out = req_head(head.method, head.target, headers)
+        progress.handed = True
+        if exchange.rest is None:
+            await link.stream.send(out + exchange.body)
+        else:
             exchange.spent = True
-            progress.handed = True
-            await link.stream.send(out)
-            async for chunk in exchange.rest():
-                await link.stream.send(conn.send(h11.Data(data=chunk)) or b"")
-            out = b""
-        out += conn.send(h11.EndOfMessage()) or b""
-        if out:
-            progress.handed = True
-            await link.stream.send(out)
-
-    async def event(self, link: Link) -> h11.Event | None:
-        """The next event of the answer; None once the connection has ended before it."""
-        while True:
-            event = link.conn.next_event()
-            if event is h11.NEED_DATA:
-                data = await link.pump.receive()
-                if not data and link.conn.their_state is not h11.SEND_BODY:
-                    return None
-                try:
-                    link.conn.receive_data(data)
-                except RuntimeError:  # ended before, and the answer has a told length
-                    return None
-                if not data and link.conn.their_state is h11.SEND_BODY:
-                    try:
-                        event = link.conn.next_event()
-                    except h11.RemoteProtocolError:
-                        return None
-                    return event if isinstance(event, h11.Event) else None
-            elif isinstance(event, h11.Event):
-                return event
-            else:
-                return None
+            await link.stream.send(out + (chunk(exchange.body) if chunked else exchange.body))
+            async for data in exchange.rest():
+                await link.stream.send(chunk(data) if chunked else data)
+            if chunked:
+                await link.stream.send(LAST_CHUNK)
+        link.written = True
+
+    async def part(self, link: Link) -> Part | None:
+        """The next part of the answer; None once the connection has ended before it. Raises Fault."""
+        reader = link.reader
+        while not reader.parts:
+            if reader.fault is not None:
+                raise reader.fault
+            data = await link.pump.receive()
+            if not data:
+                return END if reader.ended() else None
+            reader.feed(data)
+        return reader.parts.popleft()
 
     async def read(self, exchange: Exchange, number: int, link: Link, progress: Progress) -> Ending:
         answer = None
         while answer is None:
-            event = await self.event(link)
-            if event is None or isinstance(event, h11.ConnectionClosed):
+            part = await self.part(link)
+            if part is None:
                 return Ending.CLOSED_UNANSWERED
-            if isinstance(event, h11.InformationalResponse):
-                if event.status_code == SWITCHING:
+            if isinstance(part, Answer):
+                if part.status == SWITCHING:
                     return Ending.NOT_HTTP
-            elif isinstance(event, h11.Response):
-                answer = Answer(event.status_code, list(event.headers), b"", bytes(event.reason))
+                answer = part if part.status >= INFORMATIONAL else None
         progress.answer = answer
         parts: list[bytes] = []
         kept = 0
@@ -267,13 +263,13 @@
         if most == 0 and not exchange.settled:
             return await self.pass_on(exchange, number, link, answer, b"")
         while True:
-            event = await self.event(link)
-            if isinstance(event, h11.EndOfMessage):
+            part = await self.part(link)
+            if isinstance(part, End):
                 answer.body = b"".join(parts)
                 return Ending.ANSWERED
-            if not isinstance(event, h11.Data):
+            if not isinstance(part, bytes):
                 return Ending.BROKE_IN_BODY
-            parts.append(bytes(event.data))
+            parts.append(part)
             kept += len(parts[-1])
             if kept > most:
                 if answer.status >= 500 or exchange.settled:  # noqa: PLR2004
@@ -293,13 +289,13 @@
                 except BROKEN:
                     return Ending.CLIENT_LEFT
                 pause.deadline = anyio.current_time() + READ_WITHIN
-                event = await self.event(link)
-                if isinstance(event, h11.EndOfMessage):
+                part = await self.part(link)
+                if isinstance(part, End):
                     return Ending.ANSWERED
-                if not isinstance(event, h11.Data):
+                if not isinstance(part, bytes):
                     exchange.broke = True
                     return Ending.BROKE_IN_BODY
-                data = bytes(event.data)
+                data = part
         return Ending.BROKE_IN_BODY
 
     def not_begun(self, headers: Headers) -> bool:
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -16,7 +17,7 @@
 BoxScript = Callable[[Stream], Awaitable[None]]
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 FULL = b"HTTP/1.1 503 Busy\r\nx-not-begun: 1\r\ncontent-length: 0\r\n\r\n"
-HOST = "127.88.0.1"
+HOST = f"127.{60 + os.getpid() % 150}.0.1"  # of this process: test runs side by side do not meet
 
 
 def terms(**changes: Any) -> UmpireTerms:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -17,7 +17,7 @@
 
 from tests.edge import terms
 
-HOST = "127.91.0.1"
+HOST = f"127.{60 + os.getpid() % 150}.1.1"
 BOXES = [
     {
         "box": f"{HOST}:9001",
