--- a/benchmarks/passthrough.py
+++ b/benchmarks/passthrough.py
@@ -1,5 +1,7 @@
-"""A bare pass-through on the umpire's own libraries (anyio, h11): round robin, no decisions. To measure
-against."""
+"""A bare pass-through on the umpire's own libraries: round robin, no decisions, no time-outs, no bounds.
+
+Reads by anyio and httptools, through the umpire's readers. To measure against.
+"""
 
 from __future__ import annotations
 
@@ -7,9 +9,12 @@
 from itertools import cycle
 
 import anyio
-import h11
 from anyio.abc import ByteStream
 
+from gullmount.umpire.messages import Answer, Head
+from gullmount.umpire.wire import AnswerReader, End, Part, Reader, ReqReader, answer_head, req_head
+
+HEAD_MOST = 65536  # bytes of a head
 DROPPED = {
     b"connection",
     b"keep-alive",
@@ -21,50 +26,42 @@
 }
 
 
+async def read(reader: Reader, stream: ByteStream) -> Part:
+    while not reader.parts:
+        reader.feed(await stream.receive())
+    return reader.parts.popleft()
+
+
+async def read_body(reader: Reader, stream: ByteStream) -> bytes:
+    body = b""
+    while not isinstance(part := await read(reader, stream), End):
+        assert isinstance(part, bytes)
+        body += part
+    return body
+
+
 class Boxes:
     def __init__(self, addresses: list[str]) -> None:
         self.turn = cycle(addresses)
-        self.idle: dict[str, list[tuple[ByteStream, h11.Connection]]] = {address: [] for address in addresses}
+        self.idle: dict[str, list[ByteStream]] = {address: [] for address in addresses}
 
-    async def carry(
-        self, method: bytes, target: bytes, headers: list, body: bytes
-    ) -> tuple[int, list, bytes]:
+    async def carry(self, head: Head, body: bytes) -> tuple[Answer, bytes]:
         address = next(self.turn)
         if self.idle[address]:
-            stream, conn = self.idle[address].pop()
+            stream = self.idle[address].pop()
         else:
             host, port = address.split(":")
-            stream, conn = await anyio.connect_tcp(host, int(port)), h11.Connection(h11.CLIENT)
-        kept = [pair for pair in headers if pair[0] not in DROPPED]
-        if body:
-            kept.append((b"content-length", b"%d" % len(body)))
-        out = conn.send(h11.Request(method=method, target=target, headers=kept))
+            stream = await anyio.connect_tcp(host, int(port))
+        headers = [pair for pair in head.headers if pair[0] not in DROPPED]
         if body:
-            out += conn.send(h11.Data(data=body))
-        await stream.send(out + conn.send(h11.EndOfMessage()))
-        status, told, parts = 502, [], []
-        while True:
-            event = await read(conn, stream)
-            if isinstance(event, h11.Response):
-                status, told = event.status_code, list(event.headers)
-            elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                break
-        conn.start_next_cycle()
-        self.idle[address].append((stream, conn))
-        return status, [pair for pair in told if pair[0] not in DROPPED], b"".join(parts)
-
-
-async def read(conn: h11.Connection, stream: ByteStream) -> h11.Event:
-    while True:
-        event = conn.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        try:
-            conn.receive_data(await stream.receive())
-        except anyio.EndOfStream:
-            conn.receive_data(b"")
+            headers.append((b"content-length", b"%d" % len(body)))
+        await stream.send(req_head(head.method, head.target, headers) + body)
+        reader = AnswerReader(HEAD_MOST, head.method)
+        answer = await read(reader, stream)
+        assert isinstance(answer, Answer)
+        content = await read_body(reader, stream)
+        self.idle[address].append(stream)
+        return answer, content
 
 
 async def main(listen: str, addresses: list[str]) -> None:
@@ -72,28 +69,20 @@
 
     async def serve(stream: ByteStream) -> None:
         try:
-            await converse(stream)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            async with stream:
+                await converse(stream)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream):
             pass
 
     async def converse(stream: ByteStream) -> None:
-        conn = h11.Connection(h11.SERVER)
-        async with stream:
-            while True:
-                event = await read(conn, stream)
-                if not isinstance(event, h11.Request):
-                    return
-                body = b""
-                while isinstance(part := await read(conn, stream), h11.Data):
-                    body += bytes(part.data)
-                status, headers, content = await boxes.carry(
-                    event.method, event.target, list(event.headers), body
-                )
-                headers.append((b"content-length", b"%d" % len(content)))
-                out = conn.send(h11.Response(status_code=status, headers=headers))
-                out += conn.send(h11.Data(data=content)) + conn.send(h11.EndOfMessage())
-                await stream.send(out)
-                conn.start_next_cycle()
+        reader = ReqReader(HEAD_MOST)
+        while True:
+            head = await read(reader, stream)
+            assert isinstance(head, Head)
+            answer, content = await boxes.carry(head, await read_body(reader, stream))
+            headers = [pair for pair in answer.headers if pair[0] not in DROPPED]
+            headers.append((b"content-length", b"%d" % len(content)))
+            await stream.send(answer_head(answer.status, answer.reason, headers) + content)
 
     host, port = listen.split(":")
     listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port), backlog=1024)
