A stop waits until the last answer has left; dead parts taken out

Cause: a front forgot its exchange before it wrote the answer, so that a stop could return, and the process exit, in the middle of a last answer. The test of the next life waited only for the news in the remembered file, though boxes and news are saved apart: a kill in between left a life without boxes.

Change: a front is busy from a req's taking until its answer has left, and the stop waits for that. The test waits for both parts. Parameters and terms that nothing read are gone.

--- a/gullmount/days/run.py
+++ b/gullmount/days/run.py
@@ -218,7 +218,6 @@
             terms,
             seed,
             releases,
-            [route.name for route in self.terms.routes],
         )
 
     def make_clients(self, bits: Callable[[int], int]) -> list[ClientsOf]:
--- a/gullmount/days/terms.py
+++ b/gullmount/days/terms.py
@@ -205,8 +205,6 @@
     max_retry_after: NonNegativeFloat = 0.5
     releases: list[ReleaseOffer] = []
     troubles: list[Trouble] = []
-    behind_price: NonNegativeFloat = 0.0
-    harm_price: NonNegativeFloat = 0.0
 
     @model_validator(mode="after")
     def sound(self) -> Self:
--- a/gullmount/days/troubles.py
+++ b/gullmount/days/troubles.py
@@ -20,7 +20,6 @@
     def __init__(self, day: Deployment, seed: int) -> None:
         self.day = day
         self.random = Random(seed)
-        self.crowds: dict[str, float] = {}
 
     async def run(self, trouble: Trouble) -> None:
         await anyio.sleep(max(0.0, trouble.at - self.day.record.now()))
--- a/gullmount/standins/launcher.py
+++ b/gullmount/standins/launcher.py
@@ -58,7 +58,6 @@
         terms: LaunchTerms,
         seed: int,
         releases: list[float],
-        routes: list[str],
     ) -> None:
         self.tasks = tasks
         self.party = party
@@ -68,7 +67,6 @@
         self.terms = terms
         self.random = Random(seed)
         self.releases = releases
-        self.routes = routes
         self.build, self.stage, self.phase = 1, len(terms.caps) - 1, "released"
         self.good = 1  # the build to go back to
         self.clock_from: float | None = None
--- a/gullmount/umpire/control.py
+++ b/gullmount/umpire/control.py
@@ -20,7 +20,6 @@
 
 VERSION = 1  # of all messages here; others are dropped
 LINE_MOST = 4 << 20  # bytes of one line: a list of some ten thousand boxes
-CALL_WITHIN = 2.0  # s in which a watch must be answered before it counts as refused
 SILENT = 15.0  # s without a line after which a watch is given up: the sender says something each 5 s
 AGAIN = 0.5  # s before a broken watch is opened again, up to twice that by chance; doubles
 AGAIN_MOST = 4.0  # s of that at most: news must not be late for longer than a stage lasts
--- a/gullmount/umpire/front.py
+++ b/gullmount/umpire/front.py
@@ -27,7 +27,6 @@
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
     501: b"Not Implemented",
-    505: b"HTTP Version Not Supported",
 }
 
 
@@ -46,6 +45,7 @@
         self.pump.on_end = self.ended
         self.reader = ReqReader(self.terms.head_most)
         self.exchange: Exchange | None = None
+        self.busy = False  # from a req's taking until its answer has left
         self.idle = True  # between reqs
         self.whole = True  # whether the req under way was read to its end
 
@@ -65,6 +65,7 @@
                     pass
                 tasks.cancel_scope.cancel()
         finally:
+            self.busy = False
             self.ended()
             await anyio.aclose_forcefully(self.stream)
 
@@ -80,6 +81,7 @@
             if exchange.left:
                 return
             await self.answer(exchange)
+            self.busy = False
             if self.host.stopping or not self.whole or not self.reader.keep:
                 await self.linger()
                 return
@@ -128,6 +130,7 @@
         if not self.whole:
             exchange.rest = self.rest
         self.exchange = exchange
+        self.busy = True
         self.host.take(exchange, route, once=not self.whole)
         return exchange
 
--- a/gullmount/umpire/host.py
+++ b/gullmount/umpire/host.py
@@ -46,7 +46,7 @@
         self.emptied = anyio.Event()
         self.count = 0
         self.routes = [(route, route.match.pattern()) for route in terms.routes]
-        self.upstream = Upstream(terms.boxes, net, tasks, terms.number, log)
+        self.upstream = Upstream(terms.boxes, net, tasks, terms.number)
         self.on_vote: Votes | None = None
         self.on_tell: Tells | None = None
         self.on_subscribe: Callable[[], None] | None = None
--- a/gullmount/umpire/running.py
+++ b/gullmount/umpire/running.py
@@ -19,6 +19,7 @@
 from gullmount.umpire.host import SocketHost
 from gullmount.umpire.terms import UmpireTerms
 
+LOOK_EVERY = 0.01  # s between looks whether the last answers have left, at a stop
 SAVE_EVERY = 0.1  # s between writes of what is remembered: a list that changes more often is written less
 
 
@@ -72,7 +73,7 @@
         self.to_save = anyio.Event()
         self.known_boxes = anyio.Event()
         self.known_build = anyio.Event()
-        self.connections = 0
+        self.fronts: set[Front] = set()
 
     async def __aenter__(self) -> Self:
         async with AsyncExitStack() as stack:
@@ -117,16 +118,13 @@
         self.host.stopping = True
         self.taking.cancel()
         await self.host.settled()
-        while self.connections and any(front.exchange for front in self.fronts):
-            await anyio.sleep(0.01)
+        while any(front.busy for front in self.fronts):  # bounded by the time a write may take
+            await anyio.sleep(LOOK_EVERY)
         self.log("stopped")
 
     # Clients
 
-    fronts: set[Front]
-
     async def listen(self) -> None:
-        self.fronts = set()
         await self.known_boxes.wait()
         await self.known_build.wait()
         self.log("listening", address=self.terms.listen)
@@ -137,16 +135,14 @@
         self.tasks.start_soon(self.converse, stream)
 
     async def converse(self, stream: Stream) -> None:
-        if self.connections >= self.terms.clients.connections or self.host.stopping:
+        if len(self.fronts) >= self.terms.clients.connections or self.host.stopping:
             await anyio.aclose_forcefully(stream)
             return
         front = Front(self.host, stream)
-        self.connections += 1
         self.fronts.add(front)
         try:
             await front.run()
         finally:
-            self.connections -= 1
             self.fronts.discard(front)
 
     # What outlives the process
@@ -195,8 +191,8 @@
             return {"boxes": [], "news": None}
 
     def believe(self, remembered: dict[str, Any]) -> None:
-        """Start from the remembered list; the launcher's word is waited for, as a cap may have fallen
-        since."""
+        """Start from the remembered list and the launcher's last word; a cap that fell since then binds as
+        soon as the launcher is heard."""
         now, wall = self.host.now(), self.wall()
         lines = []
         for entry in remembered["boxes"]:
--- a/gullmount/umpire/upstream.py
+++ b/gullmount/umpire/upstream.py
@@ -3,8 +3,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 import anyio
 from anyio.abc import TaskGroup
 
@@ -83,15 +81,12 @@
 class Upstream:
     """All connections of one umpire."""
 
-    def __init__(
-        self, terms: BoxTerms, net: Net, tasks: TaskGroup, number: int, log: Callable[..., None]
-    ) -> None:
+    def __init__(self, terms: BoxTerms, net: Net, tasks: TaskGroup, number: int) -> None:
         self.terms = terms
         self.net = net
         self.tasks = tasks
         self.mark = [(b"gullmount-umpire", b"%d" % number)]
         self.pools: dict[str, Pool] = {}
-        self.log = log
         self.dropped_mark = terms.not_begun_header.encode()
 
     # Connections
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -10,7 +10,7 @@
 from gullmount.interface import Outcome
 from gullmount.net import Net, Stream, abort
 from gullmount.umpire.outcomes import Ending, outcome_of
-from tests.edge import FULL, OK, BoxScript, Edge, edge, play, refused
+from tests.edge import FULL, OK, BoxScript, Edge, edge, play, refused, terms
 
 both = pytest.mark.parametrize("virtual", [True, False], ids=["memory", "sockets"])
 PAY = b"POST /pay HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\nx-patience-ms: 600\r\n\r\nabc"
@@ -338,6 +338,33 @@
     play(virtual, scene)
 
 
+def test_stop_waits_until_the_last_answer_has_left() -> None:
+    size = 16_000_000  # more than the buffers between two loopback sockets hold; a memory stream has none
+    kept = terms().boxes.model_dump() | {"answer_kept": 2 * size}
+
+    async def scene(net: Net) -> None:
+        big = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % size + b"b" * size
+        async with edge(net, {"9001": says(big)}, boxes=kept) as made:
+            stream = await made.client()
+            await stream.send(PAY)
+            await anyio.sleep(0.4)
+            assert not made.umpire.host.exchanges and made.umpire.fronts
+            stopped: list[float] = []
+
+            async def stop() -> None:
+                await made.umpire.stop()
+                stopped.append(anyio.current_time())
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(stop)
+                await anyio.sleep(0.2)
+                assert not stopped
+                got = await made.rest(stream, 5.0)
+            assert stopped and len(got) > size
+
+    play(False, scene)
+
+
 @both
 def test_client_that_leaves_in_a_begun_answer_calls_its_try_off(virtual: bool) -> None:
     async def scene(net: Net) -> None:
@@ -355,7 +382,7 @@
             await abort(stream)
             await anyio.sleep(0.3)
             assert made.outcomes == ["cancelled"]
-            assert not made.umpire.host.exchanges and not made.umpire.connections
+            assert not made.umpire.host.exchanges and not made.umpire.fronts
 
     play(virtual, scene)
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -112,7 +112,9 @@
 def started(file: Path) -> subprocess.Popen[bytes]:
     command = [sys.executable, "-m", "gullmount", "umpire", str(file)]
     process = subprocess.Popen(command, stderr=subprocess.PIPE)
-    threading.Timer(30, process.kill).start()
+    watchdog = threading.Timer(30, process.kill)
+    watchdog.daemon = True
+    watchdog.start()
     assert process.stderr is not None
     for line in process.stderr:
         if json.loads(line)["event"] == "listening":
@@ -145,7 +147,9 @@
 
 def test_killed_umpire_serves_again_from_its_remembered_list(around: Surroundings, file: Path) -> None:
     process = started(file)
-    while b'"news":{' not in (file.parent / "boxes.json").read_bytes():
+    saved = b""
+    while b'"news":{' not in saved or b'"boxes":[{' not in saved:  # they come apart, and are saved apart
+        saved = (file.parent / "boxes.json").read_bytes()
         time.sleep(0.05)
     os.kill(process.pid, signal.SIGKILL)
     process.wait(10)
