--- a/gullmount/checker/rules.py
+++ b/gullmount/checker/rules.py
@@ -14,6 +14,7 @@
 
 ANSWERS = ("completed", "shed", "errored")
 SOCKET_SLACK = 0.06  # s that a busy machine may take between an event and its note; none in virtual time
+REQS_LEAST = 20  # reqs in a window from which on a share of them is told
 SHOWN = 5  # breaches shown of one kind
 TOLD_PART = 2 / 3  # of what a box got that must come from umpires told of its start to make it their doing
 FALL_SLACK = 0.5  # s of full work by chance, as the boxes have it
@@ -295,25 +296,38 @@
 # 5: exposure stays within the cap
 
 
+@dataclass
+class Known:
+    """What an umpire was told of one build."""
+
+    phase: str
+    stage: int
+    cap: float
+    caps: list[tuple[float, float]] = field(
+        default_factory=list
+    )  # when a lower cap was told, and the one before
+
+
 class Told:
     """What one umpire was told of builds, and what it did since."""
 
-    def __init__(self, first_cap: float) -> None:
-        self.build = -1
-        self.stage = 0
-        self.phase = "released"
-        self.cap = first_cap
-        self.caps: list[tuple[float, float]] = []  # when a lower cap was told, and the one before it
+    def __init__(self) -> None:
+        self.builds: dict[int, Known] = {}
+        self.newest = -1
         self.reqs: dict[str, list[float]] = defaultdict(list)
         self.sends: dict[tuple[int, str], list[tuple[float, str]]] = defaultdict(list)
+        self.together: dict[str, list[float]] = defaultdict(list)  # at any build on trial
         self.met: dict[str, tuple[int, float]] = {}
 
 
 def exposure(day: Day) -> Finding:
+    """Each trial by itself; what all of them got together is told beside."""
     found = Finding("exposure within the cap")
-    rules, first_cap = day.rules, day.terms["launcher"]["caps"][0]
-    told: dict[str, Told] = defaultdict(lambda: Told(first_cap))
+    rules, launcher = day.rules, day.terms["launcher"]
+    first_cap, at_once = launcher["caps"][0], launcher.get("at_once", 1)
+    told: dict[str, Told] = defaultdict(Told)
     checked = 0
+    widest = 0.0
     for req, sent in day.sent.items():
         if not any(got["answer"] == "unreached" for got in day.got[req]):
             part = sent["route"] if rules["by_route"] else ""
@@ -321,7 +335,7 @@
     for event in day.events:
         ev = event["ev"]
         if ev == "told_build":
-            hear(told[event["umpire"]], event, first_cap)
+            hear(told[event["umpire"]], event, first_cap, at_once)
         elif ev == "umpire_up":
             told[name(event)].met.clear()
         elif ev == "got" and event["answer"] == "completed" and rules["one_way"]:
@@ -330,57 +344,69 @@
             if key is not None and event["build"] >= known.met.get(key, (0, 0.0))[0]:
                 known.met[key] = event["build"], event["t"]
         elif ev == "box_got":
-            checked += judge_send(found, day, told[event["umpire"]], event, first_cap)
+            share = judge_send(found, day, told[event["umpire"]], event, first_cap)
+            checked += share is not None
+            widest = max(widest, share or 0.0)
     found.checked = {"tries at builds on trial": checked, "umpires": len(told)}
+    if at_once > 1:
+        found.checked["% of a window's reqs at trials together, most"] = round(100 * widest)
     return found
 
 
-def hear(known: Told, event: Event, first_cap: float) -> None:
-    if event["build"] < known.build:
+def hear(told: Told, event: Event, first_cap: float, at_once: int) -> None:
+    build, phase = event["build"], event["phase"]
+    known = told.builds.get(build)
+    if known is None:
+        if build < told.newest and (at_once == 1 or phase != "on_trial"):
+            return
+        known = told.builds[build] = Known(phase, event["stage"], first_cap)
+    elif build < told.newest and at_once == 1:
         return
-    before = known.cap if event["build"] == known.build else first_cap
-    if event["cap"] < before:
-        known.caps.append((event["t"], before))
-    if event["phase"] in ("going_back", "withdrawn"):
-        known.met = {key: met for key, met in known.met.items() if met[0] != event["build"]}
-    known.build, known.stage, known.phase, known.cap = (
-        event["build"],
-        event["stage"],
-        event["phase"],
-        event["cap"],
-    )
-
-
-def judge_send(found: Finding, day: Day, known: Told, event: Event, first_cap: float) -> bool:
-    """Whether the box's build is on trial for that umpire; breaches are noted."""
+    if event["cap"] < known.cap:
+        known.caps.append((event["t"], known.cap))
+    if phase in ("going_back", "withdrawn"):
+        told.met = {key: met for key, met in told.met.items() if met[0] != build}
+    known.phase, known.stage, known.cap = phase, event["stage"], event["cap"]
+    told.newest = max(told.newest, build)
+    if at_once == 1:
+        told.builds = {build: known}
+
+
+def judge_send(found: Finding, day: Day, told: Told, event: Event, first_cap: float) -> float | None:
+    """Breaches are noted. The share of the window's reqs that all trials got together, none where the box's
+    build is not on trial for that umpire."""
     t, build, umpire, req = event["t"], event["build"], event["umpire"], event["req"]
     rules, sent = day.rules, day.sent.get(event["req"])
     key = sent.get("key") if sent else None
-    if rules["one_way"] and key in known.met and known.phase in ("on_trial", "released"):
-        met, at = known.met[key]
-        if met > build and met == known.build and t > at + day.slack:
+    if rules["one_way"] and key in told.met:
+        met, at = told.met[key]
+        bound = met in told.builds and told.builds[met].phase in ("on_trial", "released")
+        if bound and met > build and t > at + day.slack:
             found.broken(t, umpire, f"key met build {met} and went to build {build}", req)
-    if build < known.build or (build == known.build and known.phase == "released"):
-        return False
-    unannounced = build > known.build
-    cap, stage = (first_cap, 0) if unannounced else (known.cap, known.stage)
+    known = told.builds.get(build)
+    if build <= told.newest and (known is None or known.phase == "released"):
+        return None
+    cap, stage, caps = (known.cap, known.stage, known.caps) if known else (first_cap, 0, [])
     part = event["route"] if rules["by_route"] else ""
-    known.sends[build, part].append((t, req))
+    told.sends[build, part].append((t, req))
     since = t - rules["window"]
     grace = rules["drain_grace"] + day.slack
-    for at, before in known.caps:
+    for at, before in caps:
         if t <= at + grace:
             cap = max(cap, before)
-        elif not unannounced:
+        else:
             since = max(since, at + grace)
     route = day.routes[event["route"]]
     if stage < rules["closed_stages"] and route["repeats"] != "retriable":
         found.broken(t, umpire, f"req with an effect at build {build} in closed stage {stage}", req)
-    sends = [one for one in known.sends[build, part] if one[0] >= since + day.slack]
-    reqs = known.reqs[part]
+    sends = [one for one in told.sends[build, part] if one[0] >= since + day.slack]
+    reqs = told.reqs[part]
     window_reqs = bisect_right(reqs, t + day.slack) - bisect_left(reqs, t - rules["window"] - day.slack)
     allowed = rules["spare_tries"] + cap * window_reqs if cap > 0 else 0
     if len(sends) > allowed:
         what = f"{len(sends)} tries at build {build} in {rules['window']} s, {allowed:.2f} allowed"
         found.broken(t, umpire, what, *[one[1] for one in sends[-SHOWN:]])
-    return True
+    together = told.together[part]
+    together.append(t)
+    tries = len(together) - bisect_left(together, t - rules["window"])
+    return tries / window_reqs if window_reqs >= REQS_LEAST else 0.0
--- a/gullmount/days/run.py
+++ b/gullmount/days/run.py
@@ -128,7 +128,9 @@
         self.around = Surroundings(Random(bits(60)), self.record, lambda host: self.links.names.get(host, ""))
         for number, release in enumerate(terms.releases):
             route = release.route or self.random.choice(terms.routes).name
-            self.around.builds[number + 2] = Badness(release.bad, release.size, route, release.speed)
+            self.around.builds[number + 2] = Badness(
+                release.bad, release.size, route, release.speed, release.zone
+            )
         self.around.dedupe = {
             route.name: (route.group, route.dedupe_window)
             for route in terms.routes
@@ -190,6 +192,7 @@
         told = self.terms.launcher
         terms = LaunchTerms(
             control=told.control,
+            at_once=told.at_once,
             beside=told.beside,
             shares=tuple(told.shares),
             caps=tuple(told.caps),
@@ -344,6 +347,7 @@
                     "to_advance": 0 if launcher.control == "timer" else launcher.to_advance,
                     "back_votes": launcher.back_votes,
                     "votes_per_s": launcher.votes_per_s,
+                    "at_once": launcher.at_once,
                     "tally_period": launcher.tally_period,
                 },
                 "max_retry_after": terms.max_retry_after,
--- a/gullmount/days/terms.py
+++ b/gullmount/days/terms.py
@@ -96,6 +96,7 @@
 
 class LauncherTerms(Described):
     control: Literal["any", "share", "timer"] = "any"
+    at_once: Annotated[int, Field(ge=1, le=2)] = 1
     beside: bool = False
     shares: list[Share] = [0.05, 0.2, 0.5, 1.0]
     caps: list[Share] = [0.07, 0.28, 0.7, 1.0]
@@ -138,13 +139,14 @@
 
 
 class ReleaseOffer(Described):
-    """A build that is offered; `bad` says what is wrong with it, if anything."""
+    """A build that is offered; `bad` says what is wrong with it, if anything; in one `zone` only if told."""
 
     at: NonNegativeFloat
     speed: PositiveFloat = 1.0
     bad: Literal["", "errors", "class", "slow", "load", "late", "wrong", "shared"] = ""
     size: Share = 0.5
     route: str = ""
+    zone: str = ""
 
 
 Kind = Literal[
@@ -167,6 +169,7 @@
     "slow_link",
     "umpire_killed",
     "umpires_rolled",
+    "votes_lost",
     "zone_cut",
     "zone_lost",
 ]
@@ -185,6 +188,7 @@
     how: str = ""
     zone: str = ""
     route: str = ""
+    build: Count = 0
 
 
 class DayTerms(Described):
@@ -214,6 +218,9 @@
                 raise ValueError(f"troubles.{index}.zone: no such zone: {trouble.zone}")
             if trouble.route and trouble.route not in names:
                 raise ValueError(f"troubles.{index}.route: no such route: {trouble.route}")
+        for index, release in enumerate(self.releases):
+            if release.zone and release.zone not in self.zones:
+                raise ValueError(f"releases.{index}.zone: no such zone: {release.zone}")
         ats = [release.at for release in self.releases]
         if ats != sorted(ats):
             raise ValueError("releases must be in the order of their times")
--- a/gullmount/days/troubles.py
+++ b/gullmount/days/troubles.py
@@ -93,9 +93,9 @@
         self.day.hot.clear()
 
     async def launcher_late(self, trouble: Trouble) -> None:
-        self.day.launcher.late = trouble.size
+        self.day.launcher.late[trouble.build] = trouble.size
         await anyio.sleep(trouble.length)
-        self.day.launcher.late = 0.0
+        del self.day.launcher.late[trouble.build]
 
     async def launcher_stalls(self, trouble: Trouble) -> None:
         """Votes get no answer, though half of them count, or end in errors."""
@@ -166,6 +166,12 @@
                 self.day.tasks.start_soon(self.day.lives[number].roll, max(0.1, trouble.extra))
             await anyio.sleep(pause)
 
+    async def votes_lost(self, trouble: Trouble) -> None:
+        """Of the votes on one build a share `size` gets lost, unanswered."""
+        self.day.launcher.deaf[trouble.build] = trouble.size
+        await anyio.sleep(trouble.length)
+        del self.day.launcher.deaf[trouble.build]
+
     async def zone_cut(self, trouble: Trouble) -> None:
         zone = self.zone(trouble)
         self.day.links.cut.add(zone)
--- a/gullmount/interface.py
+++ b/gullmount/interface.py
@@ -92,6 +92,7 @@
     back_votes: int
     votes_per_s: float
     tally_period: float
+    at_once: int = 1  # trials that may stand beside each other
 
 
 @dataclass(frozen=True, slots=True)
--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -28,7 +28,7 @@
     Verdict,
 )
 from gullmount.samples import Counts, Seen, Times, drop_before
-from gullmount.state import Box, Pace, Req, Try
+from gullmount.state import Box, Pace, Req, Trial, Try
 
 # The split (design page)
 CAP_USE = 0.8  # of the cap; the rest is room for chance and further tries
@@ -107,6 +107,7 @@
 MET_MOST = 200_000  # keys remembered to have met a build, some 25 MB; beyond them the share stands for them
 RATE_OVER = 5.0  # s over which the rate of answers is taken; long enough for umpires with a few a second
 
+STANDS = (Phase.ON_TRIAL, Phase.GOING_BACK)
 TAKEN_OFF = (Phase.GOING_BACK, Phase.WITHDRAWN)
 PROVES_UNRUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 
@@ -159,7 +160,7 @@
         self.slow_least = max(SLOW_FEW, ceil(SLOW_LEAST / apart))
         self.fail_least = max(1, round(FAIL_LEAST / apart))
         life = TOLD_LIFE if self.pooled else release.vote_life
-        asked = 0.0 if self.pooled else many / release.votes_per_s
+        asked = 0.0 if self.pooled else many * release.at_once / release.votes_per_s
         late = max(life * RENEW, min(life * RENEW_LATE, asked))
         self.renew = {Verdict.BACK: life * RENEW, Verdict.ON: late}
 
@@ -211,24 +212,13 @@
         self.retries = self.retry_room
         least = min(WIDTH_LEAST, WIDTH_LEAST_ALL / grounds.umpires)
         self.widths: dict[int, Width] = defaultdict(lambda: Width(least))
-        self.build, self.stage, self.phase, self.cap = -1, 0, Phase.RELEASED, self.release.caps[0]
+        self.trials = [Trial(-1, 0, Phase.RELEASED, self.release.caps[0])]  # by build; the newest is the last
         self.ledgers: dict[str, Ledger] = defaultdict(Ledger)
-        self.share = 0.0
         self.share_at = self.born
         self.met: dict[float, int] = {}  # by the key's place: the latest build that answered it
-        self.crowded = False  # whether more keys met the build than are remembered one by one
-        self.widest = 0.0  # the largest share the newest build has had
-        self.failing: set[str] = set()
         self.seen: dict[tuple[int, str], deque[Seen]] = defaultdict(lambda: deque(maxlen=SEEN_MOST))
-        self.calm: Times = {}
-        self.counts = Counts()
         self.base_counts: dict[str, tuple[int, int, float]] = {}
-        self.slowed = 0.0
         self.warm_part = 1.0  # of the capacity of all ready boxes
-        self.released_at = 0.0
-        self.verdict = Verdict.NONE, False
-        self.vote_again = 0.0
-        self.opinions: dict[int, tuple[Verdict, int, float]] = {}
         self.proof = Proof(grounds)
         if grounds.may_subscribe:
             host.subscribe()
@@ -259,42 +249,43 @@
                 self.pools.setdefault(box.build, []).append(box)
 
     def news(self, build: int, stage: int, phase: Phase, cap: float) -> None:
-        """The state of the newest build. A state that is older than the one held changes nothing."""
-        if build < self.build:
-            return
-        if build != self.build or phase is not self.phase or stage != self.stage:
-            self.verdict = Verdict.NONE, False  # what was voted last, and whether alone
-        if phase is Phase.RELEASED and self.phase is Phase.ON_TRIAL:
-            self.released_at = self.host.now()
-        if build != self.build:
-            self.share = 0.0
-            self.failing = set()
-            self.opinions = {}
-            self.counts = Counts()
-            self.calm = {}
-            self.slowed = 0.0
-            self.crowded, self.widest = False, 0.0
-        if sum(map(len, self.calm.values())) < self.proof.slow_least:
+        """The state of a build. One that is older than those held, or that has ended, changes nothing."""
+        before = self.trials[-1]
+        trial = self.trial(build)
+        if trial is None:
+            if build < before.build and (phase is not Phase.ON_TRIAL or self.release.at_once <= 1):
+                return
+            trial = Trial(build, stage, before.phase, cap)
+            beside = [one for one in self.trials if one.phase in STANDS and self.release.at_once > 1]
+            self.trials = sorted([*beside, trial], key=lambda one: one.build)
+        elif phase is not trial.phase or stage != trial.stage:
+            trial.verdict = Verdict.NONE, False  # what was voted last, and whether alone
+        if phase is Phase.RELEASED and trial.phase is Phase.ON_TRIAL:
+            trial.released_at = self.host.now()
+        if sum(map(len, trial.calm.values())) < self.proof.slow_least:
             # An umpire started during the trial has no times from before: its first ones must do.
-            self.calm = samples.times_since(self.seen, 0.0)
+            trial.calm = samples.times_since(self.seen, 0.0)
         if phase in TAKEN_OFF:
             self.met = {place: met for place, met in self.met.items() if met != build}
-            self.crowded = False
-        self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
-        self.share = min(self.share, cap)
+            trial.crowded = False
+        trial.stage, trial.phase, trial.cap = stage, phase, cap
+        trial.share = min(trial.share, cap)
+
+    def trial(self, build: int) -> Trial | None:
+        return next((one for one in self.trials if one.build == build), None)
 
     def tallied(self, build: int, route: str, tries: int, lost: int, time: float, age: float) -> None:
         """The platform's count of tries at one build on one route; the same reaches all umpires."""
-        if build < self.build and tries >= BASE_LEAST:
+        trial = self.trial(build)
+        if build < self.trials[-1].build and self.side(build) is None and tries >= BASE_LEAST:
             self.base_counts[route] = tries, lost, time
-        elif build == self.build and self.phase is Phase.ON_TRIAL and tries and route in self.base_counts:
+        elif trial is not None and trial.phase is Phase.ON_TRIAL and tries and route in self.base_counts:
             then = self.host.now() - age - self.release.tally_period / 2
-            warmths = [self.warmth(box, then) for box in self.ready(True) if box.age(then) > 0]
+            warmths = [self.warmth(box, then) for box in self.ready(trial) if box.age(then) > 0]
             warm = sum(warmths) / len(warmths) if warmths else self.grounds.cold_share
-            self.counts.add(tries, lost, time * warm, self.base_counts[route])
+            trial.counts.add(tries, lost, time * warm, self.base_counts[route])
 
-    def tally_worse(self) -> bool:
-        counts = self.counts
+    def tally_worse(self, counts: Counts) -> bool:
         if not counts.time or not counts.usual_time:
             return False
         error = TALLY_Z * sqrt(1 / counts.tries + 1 / counts.base_tries)
@@ -302,9 +293,12 @@
         margin = max(LOST_MARGIN * counts.tries, TALLY_Z * sqrt(counts.usual_lost + 1))
         return slow or counts.lost - counts.usual_lost >= margin
 
-    def vote_failed(self) -> None:
+    def vote_failed(self, build: int | None = None) -> None:
         """The last vote got no good answer: a later look casts it again, not all umpires in step."""
-        self.vote_again = self.host.now() + self.random() * RECAST
+        again = self.host.now() + self.random() * RECAST
+        for trial in self.trials:
+            if build in (None, trial.build):
+                trial.vote_again = again
 
     # Reqs
 
@@ -334,7 +328,8 @@
             width.note(late, len(self.pools.get(made.build, ())), now)
         req.settled = req.settled or final
         if outcome is Outcome.COMPLETED:
-            kept = self.phase is Phase.ON_TRIAL or (self.release.one_way and self.phase is Phase.RELEASED)
+            phases = {trial.phase for trial in self.trials}
+            kept = Phase.ON_TRIAL in phases or (self.release.one_way and Phase.RELEASED in phases)
             if req.key is not None and kept:
                 self.remember(req, made.build)
             self.answered.append(now)
@@ -353,17 +348,18 @@
         """
         self.met[req.place] = max(build, self.met.get(req.place, -1))
         if len(self.met) > MET_MOST:
-            self.crowded = True
-            self.met = {place: met for place, met in self.met.items() if place >= self.widest}
+            for trial in self.trials:
+                trial.crowded = True
+                self.met = {at: met for at, met in self.met.items() if not trial.holds(at, trial.widest)}
             if len(self.met) > MET_MOST / 2:
-                self.met, self.widest = {}, 1.0
+                self.met, self.trials[-1].widest = {}, 1.0
 
     def met_by(self, req: Req) -> int:
         """The latest build that the req's key met, as far as is known; -1 for none."""
         if req.key is None:
             return -1
-        met = self.met.get(req.place, -1)
-        return max(met, self.build) if self.crowded and req.place < self.widest else met
+        crowds = [one.build for one in self.trials if one.crowded and one.holds(req.place, one.widest)]
+        return max([self.met.get(req.place, -1), *crowds])
 
     def advance(self, req: Req) -> None:
         """Send the req on, or end it at once: a req that is given up is never sat on."""
@@ -404,8 +400,15 @@
     def ledger(self, req: Req) -> Ledger:
         return self.ledgers[req.route.name if self.release.by_route else ""]
 
+    def side(self, build: int) -> Trial | None:
+        """The trial that its boxes belong to, the newest if it is unannounced; none where it serves."""
+        newest = self.trials[-1]
+        trial = newest if build >= newest.build else self.trial(build)
+        released = trial is None or (trial.build == build and trial.phase is Phase.RELEASED)
+        return None if released else trial
+
     def on_trial(self, build: int) -> bool:
-        return build > self.build or (build == self.build and self.phase is not Phase.RELEASED)
+        return self.side(build) is not None
 
     def allowed(self, req: Req, box: Box, now: float) -> bool:
         if not box.ready or req.settled or req.open_tries or len(req.tries) >= self.grounds.max_tries:
@@ -426,13 +429,14 @@
     def build_allowed(self, req: Req, box: Box, now: float) -> bool:
         if self.release.one_way and self.met_by(req) > box.build:
             return False
-        if not self.on_trial(box.build):
+        trial = self.side(box.build)
+        if trial is None:
             return True
         if self.grounds.restarted and now - self.born < self.release.window:
             return False  # what was sent before a kill may fill the cap: it is not known, so nothing is added
-        unannounced = box.build > self.build
-        cap = self.release.caps[0] if unannounced else self.cap
-        stage = 0 if unannounced else self.stage
+        unannounced = box.build > trial.build
+        cap = self.release.caps[0] if unannounced else trial.cap
+        stage = 0 if unannounced else trial.stage
         if cap <= 0 or (stage < self.release.closed_stages and req.route.repeats is not Repeats.RETRIABLE):
             return False
         sends, reqs = self.ledger(req).counts(box.build, now - self.release.window)
@@ -469,36 +473,57 @@
             most = min([most] + [other.width for rev, other in self.widths.items() if not self.on_trial(rev)])
         return width.open < max(1.0, most * len(self.pools[build]))
 
-    def ready(self, on_trial: bool) -> list[Box]:
-        return [box for rev, pool in self.pools.items() if self.on_trial(rev) is on_trial for box in pool]
+    def ready(self, side: Trial | None) -> list[Box]:
+        return [box for rev, pool in self.pools.items() if self.side(rev) is side for box in pool]
 
     def update_share(self, now: float) -> None:
-        """Toward 0.8 of the cap, over the ramp, as far as the boxes carry it; it falls only with the cap."""
-        trial = self.ready(True)
-        cap = self.cap if any(box.build == self.build for box in trial) else self.release.caps[0]
-        aim = CAP_USE * cap
-        carry = sum(self.warmth(box, now) for box in trial)
-        self.warm_part = 1 - (len(trial) - carry) / max(1, sum(map(len, self.pools.values())))
-        even = carry / max(1, carry + len(self.ready(False)))
-        aim = min(max(even, aim) if cap >= 1 else aim, CROWD * even)
-        step = (now - self.share_at) / RAMP * CAP_USE * cap
-        self.share = min(max(self.share, min(aim, self.share + step)), cap)
-        self.widest = max(self.widest, self.share)
+        """Toward 0.8 of the cap, over the ramp, as far as the boxes carry it; it falls only with the cap.
+
+        Two trials grow from the two ends of the hash, each at most into what the other has left.
+        """
+        ready = [self.ready(trial) for trial in self.trials]
+        carries = [sum(self.warmth(box, now) for box in boxes) for boxes in ready]
+        cold = sum(map(len, ready)) - sum(carries)
+        self.warm_part = 1 - cold / max(1, sum(map(len, self.pools.values())))
+        under_way = [trial for trial in self.trials if trial.phase is Phase.ON_TRIAL]
+        for trial, boxes, carry in zip(self.trials, ready, carries, strict=True):
+            others = [one for one in under_way if one is not trial]
+            if trial.end is None:
+                trial.end = min({0, 1} - {one.end for one in others}, default=None)
+            cap = trial.cap if any(box.build == trial.build for box in boxes) else self.release.caps[0]
+            aim = CAP_USE * cap
+            even = carry / max(1, sum(carries) + len(self.ready(None)))
+            aim = min(max(even, aim) if cap >= 1 else aim, CROWD * even)
+            step = (now - self.share_at) / RAMP * CAP_USE * cap
+            room = 1.0 - sum(one.share for one in others) if trial.end is not None else 0.0
+            trial.share = min(max(trial.share, min(aim, trial.share + step, room)), cap)
+            trial.widest = max(trial.widest, trial.share)
         self.share_at = now
 
+    def wanted(self, req: Req) -> Trial | None:
+        """The trial that the req's key belongs to: by its place, or by what it met."""
+        newest = self.trials[-1]
+        wanted = next((one for one in self.trials if self.side(one.build) and one.holds(req.place)), None)
+        if wanted is None and newest.holds(req.place):
+            wanted = newest
+        if wanted is not None and req.route.name in wanted.failing:
+            wanted = None
+        if req.tries and self.on_trial(req.tries[-1].build):
+            wanted = None
+        met = self.trial(self.met_by(req)) if req.key is not None else None
+        if met is not None and (met is newest or self.side(met.build)):
+            wanted = met if self.release.one_way or req.route.name not in met.failing else None
+        return wanted
+
     def pick(self, req: Req, now: float) -> Box | None:
         """The box for the req's next try: the hash picks the build, the shortest expected wait the box.
 
         Among many umpires each ranks only a few boxes drawn by chance: it knows little of them. Guards
         against all ranking alike, which fills one zone. Harm: a busy umpire sees less than it could.
         """
-        wants_trial = req.place < self.share and req.route.name not in self.failing
-        if req.tries and self.on_trial(req.tries[-1].build):
-            wants_trial = False
-        if req.key is not None and self.met_by(req) == self.build:
-            wants_trial = self.release.one_way or req.route.name not in self.failing
+        wanted = self.wanted(req)
         roomy = {rev for rev in self.pools if self.has_room(rev)}
-        if wants_trial and not req.tries and any(self.on_trial(rev) for rev in self.pools.keys() - roomy):
+        if wanted and not req.tries and any(self.side(rev) is wanted for rev in self.pools.keys() - roomy):
             return None  # the bound sheds: only the exposure ledger sends a key back to an earlier build
         tried = {made.box.id for made in req.tries}
 
@@ -507,9 +532,9 @@
             return not out and box.id not in tried
 
         def cost(box: Box) -> tuple[bool, bool, float]:
-            return not usable(box), self.on_trial(box.build) is not wants_trial, self.wait(box, now)
+            return not usable(box), self.side(box.build) is not wanted, self.wait(box, now)
 
-        pool = [box for box in self.ready(wants_trial) or self.ready(False) if box.build in roomy]
+        pool = [box for box in self.ready(wanted) or self.ready(None) if box.build in roomy]
         choices = max(CHOICES, ceil(len(pool) * ALL_SEEN / self.grounds.umpires))
         usual = self.usual(now)
         paces = {zone: pace.expected(usual, ZONE_FORGET, now) for zone, pace in self.zones.items()}
@@ -522,9 +547,10 @@
             good = [box for box in drawn if usable(box) and self.allowed(req, box, now)]
             if good:
                 return min(good, key=cost)
-        earlier = any(box.out_until <= now for box in self.ready(False))
-        if wants_trial or not earlier:
-            pool = [box for rev in sorted(roomy) for box in self.pools[rev]]
+        earlier = any(box.out_until <= now for box in self.ready(None))
+        if wanted or not earlier:
+            sides = [rev for rev in sorted(roomy) if not earlier or self.side(rev) in (wanted, None)]
+            pool = [box for rev in sides for box in self.pools[rev]]
         return min((box for box in pool if self.allowed(req, box, now)), key=cost, default=None)
 
     def usual(self, now: float) -> float:
@@ -582,34 +608,39 @@
                 outcomes.popleft()
             if not outcomes:
                 del self.seen[part]
-        new = self.phase is Phase.ON_TRIAL or now - self.released_at < SHARED_AFTER
-        if self.phase in TAKEN_OFF or not (new or any(build == self.build for build, _ in self.seen)):
+        for trial in self.trials:
+            self.judge_one(trial, now)
+
+    def judge_one(self, trial: Trial, now: float) -> None:
+        new = trial.phase is Phase.ON_TRIAL or now - trial.released_at < SHARED_AFTER
+        if trial.phase in TAKEN_OFF or not (new or any(build == trial.build for build, _ in self.seen)):
             return
         rate = (sum(map(len, self.seen.values())) + 1) / SIGHT
         span = max(SLICE, SLICE_NEEDS / rate) if self.proof.many else SLICE
-        cands = {route: self.seen.get((self.build, route), ()) for route in self.grounds.routes}
+        cands = {route: self.seen.get((trial.build, route), ()) for route in self.grounds.routes}
         since = min((cand[0].at for cand in cands.values() if cand), default=now) - span
-        bases = {route: samples.of_earlier(self.seen, self.build, route, since) for route in cands}
+        serves = {rev for rev, _ in self.seen if rev != trial.build and not self.on_trial(rev)}
+        bases = {route: samples.of_builds(self.seen, serves, route, since) for route in cands}
         least = self.proof.fail_least
         worse = {route for route, cand in cands.items() if self.fails_more(cand, bases[route], least)}
-        self.failing |= worse
+        trial.failing |= worse
         recent = samples.times_since(self.seen, now - 2 * span)
         # Cold boxes take capacity away: as much slowness is not the build's.
-        excess = log(self.slowness(recent, self.calm) * self.warm_part / SHARED_RATIO)
+        excess = log(self.slowness(recent, trial.calm) * self.warm_part / SHARED_RATIO)
         if self.link_fails > LINK_LOST:
             excess = min(0.0, excess)  # lost boxes or links slow the others, whatever the build
-        weight = self.share if self.phase is Phase.ON_TRIAL else RELEASED_WEIGHT
-        self.slowed = max(0.0, self.slowed + excess * weight * JUDGE_EVERY)
-        shared = self.slowed >= self.proof.slowed
+        weight = trial.share if trial.phase is Phase.ON_TRIAL else RELEASED_WEIGHT
+        trial.slowed = max(0.0, trial.slowed + excess * weight * JUDGE_EVERY)
+        shared = trial.slowed >= self.proof.slowed
         whole = (samples.without_slowest(side, self.proof.spared) for side in (cands, bases))
         slow = self.slowness(*(samples.sliced(side, span) for side in whole)) > SLOW_RATIO
-        counted = self.tally_worse()
+        counted = self.tally_worse(trial.counts)
         if worse or slow or counted or (shared and new):
             why = f"failing {sorted(worse)}, slow {slow}, tallies {counted}, all slow {shared}"
             alone = any(self.fails_more(cands[route], bases[route], FAIL_LEAST) for route in worse)
-            self.cast(Verdict.BACK, now, why, alone)
-        elif self.phase is Phase.ON_TRIAL and not self.release.timed:
-            newest = [box.age(now) for box in self.boxes.values() if box.build == self.build and box.ready]
+            self.cast(trial, Verdict.BACK, now, why, alone)
+        elif trial.phase is Phase.ON_TRIAL and not self.release.timed:
+            newest = [box.age(now) for box in self.boxes.values() if box.build == trial.build and box.ready]
             settled = bool(newest) and min(newest) >= SETTLE
             failures = sum(seen.failed for cand in cands.values() for seen in cand)
             clean = sum(len(cand) for cand in cands.values()) - failures
@@ -617,9 +648,9 @@
             consents = many and settled and not failures and min(newest) >= SETTLE + CONSENT
             enough = consents or clean >= SLOW_LEAST or (clean >= CLEAN_LEAST and not failures)
             doubt = any(self.fails_more(cand, bases[route], 1) for route, cand in cands.items())
-            if settled and enough and not doubt and not self.slowed:
+            if settled and enough and not doubt and not trial.slowed:
                 alone = clean >= CLEAN_LEAST and min(newest) > SETTLE + CONSENT + ALONE_MORE
-                self.cast(Verdict.ON, now, f"clean {clean}, failed {failures}", alone)
+                self.cast(trial, Verdict.ON, now, f"clean {clean}, failed {failures}", alone)
 
     def slowness(self, cands: Times, bases: Times) -> float:
         """How many times slower `cands` are than `bases`, all routes and slices together; 1 in doubt."""
@@ -644,19 +675,19 @@
         base_share = sum(seen.failed for seen in base) / len(base) if base else 0.0
         return failed >= least and failed / sum(total for _, total in counts) > base_share + FAIL_MARGIN
 
-    def cast(self, verdict: Verdict, now: float, why: str, alone: bool) -> None:
-        if (verdict, alone) == self.verdict and now < self.vote_again:
+    def cast(self, trial: Trial, verdict: Verdict, now: float, why: str, alone: bool) -> None:
+        if (verdict, alone) == trial.verdict and now < trial.vote_again:
             return
-        self.host.log(f"build {self.build} stage {self.stage}: votes {verdict.value}: {why}")
-        self.verdict = verdict, alone
-        self.vote_again = now + self.proof.renew[verdict]
+        self.host.log(f"build {trial.build} stage {trial.stage}: votes {verdict.value}: {why}")
+        trial.verdict = verdict, alone
+        trial.vote_again = now + self.proof.renew[verdict]
         if self.proof.pooled and not alone:
             for judge in range(JUDGES):
                 if judge != self.grounds.number:
-                    self.host.tell(judge, self.build, self.stage, verdict)
-            self.heard(self.grounds.number, self.build, self.stage, verdict)
+                    self.host.tell(judge, trial.build, trial.stage, verdict)
+            self.heard(self.grounds.number, trial.build, trial.stage, verdict)
         else:
-            self.host.vote(self.build, self.stage, verdict)
+            self.host.vote(trial.build, trial.stage, verdict)
 
     def heard(self, peer: int, build: int, stage: int, verdict: Verdict) -> None:
         """A peer's vote. Where one vote decides, the first umpires cast it for many, else chance decides.
@@ -665,13 +696,14 @@
         takes longer, and a bad build is sent back only by an umpire that saw enough alone.
         """
         now = self.host.now()
-        if build != self.build or self.phase in TAKEN_OFF or self.grounds.number >= JUDGES:
+        trial = self.trial(build)
+        if trial is None or trial.phase in TAKEN_OFF or self.grounds.number >= JUDGES:
             return
-        self.opinions[peer] = (verdict, stage, now)
-        standing = [told for told in self.opinions.values() if now - told[2] < TOLD_LIFE]
+        trial.opinions[peer] = (verdict, stage, now)
+        standing = [told for told in trial.opinions.values() if now - told[2] < TOLD_LIFE]
         backs = sum(told[0] is Verdict.BACK for told in standing)
-        ons = sum(told[:2] == (Verdict.ON, self.stage) for told in standing)
+        ons = sum(told[:2] == (Verdict.ON, trial.stage) for told in standing)
         if backs >= self.proof.votes:
-            self.host.vote(build, self.stage, Verdict.BACK)
-        elif ons >= PEERS_ON * self.grounds.umpires and not backs and self.phase is Phase.ON_TRIAL:
-            self.host.vote(build, self.stage, Verdict.ON)
+            self.host.vote(build, trial.stage, Verdict.BACK)
+        elif ons >= PEERS_ON * self.grounds.umpires and not backs and trial.phase is Phase.ON_TRIAL:
+            self.host.vote(build, trial.stage, Verdict.ON)
--- a/gullmount/samples.py
+++ b/gullmount/samples.py
@@ -4,7 +4,7 @@
 
 from bisect import bisect_left, bisect_right
 from collections import defaultdict, deque
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from hashlib import blake2b
 from statistics import fmean, median
 from typing import NamedTuple
@@ -75,10 +75,10 @@
     return ratios, surplus, variance
 
 
-def of_earlier(seen: Outcomes, build: int, route: str, since: float) -> list[Seen]:
-    """Outcomes of builds before this one on the route since then."""
+def of_builds(seen: Outcomes, builds: Collection[int], route: str, since: float) -> list[Seen]:
+    """Outcomes of these builds on the route since then."""
     return [
-        one for (rev, name), outcomes in seen.items() if rev < build and name == route
+        one for (rev, name), outcomes in seen.items() if rev in builds and name == route
         for one in outcomes if one.at >= since
     ]
 
--- a/gullmount/standins/boxes.py
+++ b/gullmount/standins/boxes.py
@@ -46,6 +46,7 @@
     size: float = 0.0
     route: str = ""
     speed: float = 1.0
+    zone: str = ""  # where it is bad; all if empty
 
     @property
     def bad(self) -> bool:
@@ -100,7 +101,8 @@
         self.kind = kind
         self.around = around
         self.party = party
-        self.badness = around.builds.get(build, Badness())
+        told = around.builds.get(build, Badness())
+        self.badness = told if told.zone in ("", zone) else Badness(speed=told.speed)
         self.speed = speed * self.badness.speed
         self.power = speed
         self.started = around.record.now() if cold else -1e6
--- a/gullmount/standins/launcher.py
+++ b/gullmount/standins/launcher.py
@@ -1,5 +1,5 @@
-"""Offers builds by stages, counts votes, tells news and tallies; stalls, is late and loses votes when
-scripted."""
+"""Offers builds by stages, two at once if told so, counts votes, tells news and tallies; stalls, is late and
+loses votes when scripted."""
 
 from __future__ import annotations
 
@@ -22,6 +22,8 @@
 LOOK_EVERY = 0.05  # s between looks at the votes
 CLOCK_AFTER = 1.0  # s after all machines of a stage run until its clock starts
 CLOCK_MOST = 8.0  # s after their launch at which it starts in any case
+TOLD_BUILDS = 3  # newest builds whose state is told: two trials and what was released last
+LEFT_TO_EARLIER = 0.2  # of the places, kept from a newer trial while an older one stands, for comparison
 
 
 @dataclass(frozen=True)
@@ -29,6 +31,7 @@
     """How builds move; times in seconds."""
 
     control: str  # "any", "share" or "timer"
+    at_once: int
     beside: bool
     shares: tuple[float, ...]
     caps: tuple[float, ...]
@@ -47,6 +50,30 @@
     tally_late: float
 
 
+class Offer:
+    """One build; lives as long as the day."""
+
+    def __init__(self, build: int, from_front: bool) -> None:
+        self.build = build
+        self.from_front = from_front  # which end of the places its machines are taken from
+        self.stage, self.phase = 0, "on_trial"
+        self.settled = False  # whether it was released and a newer one was offered since
+        self.clock_from: float | None = None
+        self.held = 0.0
+        self.moving = 0
+        self.votes: dict[int, tuple[int, str, float]] = {}  # by umpire: stage, verdict, until when it stands
+
+    @property
+    def open(self) -> bool:
+        return self.phase in ("on_trial", "going_back")
+
+    def standing(self, verdict: str, now: float) -> int:
+        return sum(
+            said == verdict and until > now and (verdict != "on" or stage == self.stage)
+            for stage, said, until in self.votes.values()
+        )
+
+
 class LauncherStandIn:
     def __init__(
         self,
@@ -67,49 +94,61 @@
         self.terms = terms
         self.random = Random(seed)
         self.releases = releases
-        self.build, self.stage, self.phase = 1, len(terms.caps) - 1, "released"
-        self.good = 1  # the build to go back to
-        self.clock_from: float | None = None
-        self.held = 0.0
-        self.votes: dict[int, tuple[int, int, str, float]] = {}
+        first = Offer(1, True)
+        first.stage, first.phase, first.settled = len(terms.caps) - 1, "released", True
+        self.offers = [first]
         self.tokens = terms.votes_per_s
         self.tokens_at = 0.0
         self.trouble = ""  # "silence", "errors" or "stale"
-        self.late = 0.0
-        self.told: dict[str, Any] = {}
+        self.late: dict[int, float] = {}  # by build, 0 for all: s by which its news are later
+        self.deaf: dict[int, float] = {}  # by build: share of its votes that are lost
+        self.told: dict[int, dict[str, Any]] = {}
         self.changed = anyio.Event()
-        self.moving = 0
         self.counts: dict[tuple[int, str], list[float]] = defaultdict(lambda: [0, 0, 0.0])
         self.tallies: list[dict[str, Any]] = []
         self.tallied = anyio.Event()
-        self.publish(at_once=True)
+        self.publish(first, at_once=True)
+
+    def standing_trials(self) -> list[Offer]:
+        return [offer for offer in self.offers if offer.open]
 
     # News
 
-    def news(self) -> dict[str, Any]:
-        cap = 0.0 if self.phase in ("going_back", "withdrawn") else self.terms.caps[self.stage]
-        cap = 1.0 if self.phase == "released" else cap
-        return {"build": self.build, "stage": self.stage, "phase": self.phase, "cap": cap}
+    def news(self, offer: Offer) -> dict[str, Any]:
+        cap = 0.0 if offer.phase in ("going_back", "withdrawn") else self.terms.caps[offer.stage]
+        cap = 1.0 if offer.phase == "released" else cap
+        return {"build": offer.build, "stage": offer.stage, "phase": offer.phase, "cap": cap}
 
-    def publish(self, at_once: bool = False) -> None:
-        news = self.news()
+    def publish(self, offer: Offer, at_once: bool = False) -> None:
+        news = self.news(offer)
         self.record.note("build", **news)
 
         async def later() -> None:
-            await anyio.sleep(self.random.uniform(*self.terms.told_late) + self.late)
-            self.told = news
+            late = self.late.get(0, 0.0) + self.late.get(offer.build, 0.0)
+            await anyio.sleep(self.random.uniform(*self.terms.told_late) + late)
+            self.tell(news)
             self.changed.set()
             self.changed = anyio.Event()
 
         if at_once:
-            self.told = news
+            self.tell(news)
         else:
             self.tasks.start_soon(later)
 
+    def tell(self, news: dict[str, Any]) -> None:
+        if self.terms.at_once == 1:
+            self.told.clear()
+        self.told[news["build"]] = news
+        self.told = {build: self.told[build] for build in sorted(self.told)[-TOLD_BUILDS:]}
+
     def line(self, umpire: str, news: dict[str, Any]) -> bytes:
         self.record.note("told_build", umpire=umpire, **news)
         return msgspec.json.encode({"v": 1, "news": news}) + b"\n"
 
+    def lines(self, umpire: str) -> bytes:
+        """The state of each build that is told of, the oldest first."""
+        return b"".join(self.line(umpire, news) for news in self.told.values())
+
     async def run(self) -> None:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.offer)
@@ -129,14 +168,14 @@
         said = await self.vote(asked, umpire)
         await self.party.links.passable(self.party.zone, host)
         if said.status == 200:
-            said.body = self.line(umpire, self.told)
+            said.body = self.lines(umpire)
         return said
 
     async def watch(self, host: str, umpire: str) -> AsyncIterator[bytes]:
         tally_from = len(self.tallies)
         while True:
             await self.party.links.passable(self.party.zone, host)
-            yield self.line(umpire, self.told)
+            yield self.lines(umpire)
             until = anyio.current_time() + self.terms.push_every
             with anyio.CancelScope(deadline=until):
                 changed, tallied = self.changed, self.tallied
@@ -169,6 +208,8 @@
         )
         self.tokens_at = now
         counts = True
+        if self.deaf.get(build) and self.random.random() < self.deaf[build]:
+            return Said(0, fate="silence")
         if self.trouble == "errors":
             return Said(500, b"out of order\n")
         if self.trouble == "silence":
@@ -176,13 +217,10 @@
         elif self.tokens < 1:
             return Said(429, b"too many votes\n")
         self.tokens -= 1
-        known = build == self.build and (verdict in ("back", "none") or stage == self.stage)
-        known = known and self.phase in ("on_trial", "released")
-        known = known and verdict in (
-            ("on", "back", "none") if self.terms.control != "timer" else ("hold", "back", "none")
-        )
-        if known and counts:
-            self.votes[number] = build, stage, verdict, now + self.terms.vote_life
+        offer = self.voted_on(build, stage, verdict)
+        known = offer is not None
+        if offer is not None and counts:
+            offer.votes[number] = stage, verdict, now + self.terms.vote_life
             self.record.note("vote", umpire=umpire, build=build, stage=stage, verdict=verdict)
         if self.trouble == "silence":
             return Said(0, fate="silence")
@@ -190,136 +228,164 @@
             return Said(409, b"moot\n")
         return Said(200)
 
-    def standing(self, verdict: str) -> int:
-        now = self.record.now()
-        return sum(
-            build == self.build
-            and said == verdict
-            and until > now
-            and (verdict != "on" or stage == self.stage)
-            for build, stage, said, until in self.votes.values()
-        )
+    def voted_on(self, build: int, stage: int, verdict: str) -> Offer | None:
+        """The offer that such a vote concerns; none if it is moot."""
+        verdicts = ("on", "back", "none") if self.terms.control != "timer" else ("hold", "back", "none")
+        for offer in self.offers:
+            if offer.build == build and offer.phase in ("on_trial", "released") and not offer.settled:
+                return offer if verdict in verdicts and (verdict != "on" or stage == offer.stage) else None
+        return None
 
     async def look(self) -> None:
-        """Move the build as the votes and the clock have it."""
+        """Move the builds as the votes and the clock have it."""
         while True:
             await anyio.sleep(LOOK_EVERY)
-            if self.trouble in ("silence", "errors"):
-                if self.clock_from is not None:
-                    self.held += LOOK_EVERY
-                continue
-            if self.phase in ("on_trial", "released") and self.standing("back") >= self.terms.back_votes:
-                if (self.build > 1 and self.build != self.good) or self.phase == "on_trial":
-                    self.start_back("votes")
-                continue
-            if self.phase != "on_trial" or self.clock_from is None:
-                continue
-            ran = self.record.now() - self.clock_from
-            if self.terms.control == "timer":
-                if self.standing("hold") >= max(1, self.terms.hold_votes):
-                    self.held += LOOK_EVERY
-                if ran - self.held >= self.terms.step:
-                    await self.advance()
-            elif ran - self.held >= self.terms.bake and self.standing("on") >= max(1, self.terms.to_advance):
-                await self.advance()
+            for offer in list(self.offers):
+                if not offer.settled:
+                    await self.look_at(offer)
+
+    async def look_at(self, offer: Offer) -> None:
+        now = self.record.now()
+        if self.trouble in ("silence", "errors"):
+            if offer.clock_from is not None:
+                offer.held += LOOK_EVERY
+            return
+        if offer.phase in ("on_trial", "released") and offer.standing("back", now) >= self.terms.back_votes:
+            self.start_back(offer, "votes")
+            return
+        if offer.phase != "on_trial" or offer.clock_from is None:
+            return
+        ran = now - offer.clock_from
+        voted_on = offer.standing("on", now) >= max(1, self.terms.to_advance)
+        if self.terms.control == "timer":
+            if offer.standing("hold", now) >= max(1, self.terms.hold_votes) or not self.fits(offer):
+                offer.held += LOOK_EVERY
+            if ran - offer.held >= self.terms.step:
+                await self.advance(offer)
+        elif ran - offer.held >= self.terms.bake and self.fits(offer) and voted_on:
+            await self.advance(offer)
 
     # Stages
 
+    def fits(self, offer: Offer) -> bool:
+        """Whether its next stage leaves the older trial its places, and a part to the earlier build."""
+        older = [one for one in self.standing_trials() if one.build < offer.build]
+        if not older:
+            return True
+        shares = self.terms.shares
+        taken = sum(shares[one.stage] for one in older)
+        last = offer.stage + 1 >= len(shares)
+        return not last and shares[offer.stage + 1] + taken <= 1 - LEFT_TO_EARLIER
+
     async def offer(self) -> None:
         for at in self.releases:
             await anyio.sleep(max(0.0, at - self.record.now()))
             while self.trouble in ("silence", "errors"):
                 await anyio.sleep(LOOK_EVERY)
-            if self.phase == "on_trial":
-                self.start_back("next is due")
-            while self.phase == "going_back":
+            newest = self.offers[-1]
+            if self.terms.at_once == 1 and newest.phase == "on_trial":
+                self.start_back(newest, "next is due")
+            while len(self.standing_trials()) >= self.terms.at_once:
                 await anyio.sleep(LOOK_EVERY)
-            if self.phase == "released":
-                self.good = self.build
-                self.retire_earlier()
-            self.build += 1
-            self.stage, self.phase = 0, "on_trial"
-            self.votes = {}
-            self.publish()
-            self.enter_stage()
-
-    def part(self) -> list[Place]:
-        count = max(1, round(self.terms.shares[self.stage] * len(self.fleet.places)))
-        return self.fleet.places[:count]
-
-    def enter_stage(self) -> None:
-        self.clock_from, self.held = None, 0.0
-        self.moving += 1
-        self.tasks.start_soon(self.fill, self.moving, self.build)
-
-    async def fill(self, moving: int, build: int) -> None:
+            for earlier in self.offers:
+                if earlier.phase == "released" and not earlier.settled:
+                    earlier.settled = True
+                    self.retire_earlier(earlier)
+            others = self.standing_trials()
+            made = Offer(newest.build + 1, not any(one.from_front for one in others))
+            self.offers.append(made)
+            self.publish(made)
+            self.enter_stage(made)
+
+    def free(self, offer: Offer, places: list[Place]) -> list[Place]:
+        """Those that no other trial has its machines on."""
+        others = [one.build for one in self.standing_trials() if one is not offer]
+        return [place for place in places if not any(build in place.machines for build in others)]
+
+    def part(self, offer: Offer) -> list[Place]:
+        places = self.fleet.places
+        count = max(1, round(self.terms.shares[offer.stage] * len(places)))
+        return self.free(offer, places[:count] if offer.from_front else places[-count:])
+
+    def enter_stage(self, offer: Offer) -> None:
+        offer.clock_from, offer.held = None, 0.0
+        offer.moving += 1
+        self.tasks.start_soon(self.fill, offer, offer.moving)
+
+    async def fill(self, offer: Offer, moving: int) -> None:
         """Machines for the stage; its clock starts soon after they run."""
         launched = self.record.now()
+        part = self.part(offer)
         async with anyio.create_task_group() as tasks:
-            for place in self.part():
-                if build not in place.machines:
-                    tasks.start_soon(self.replace, place, build)
+            for place in part:
+                if offer.build not in place.machines:
+                    tasks.start_soon(self.replace, place, offer)
             wait = launched + CLOCK_MOST
 
             async def clock() -> None:
                 while self.record.now() < wait:
-                    machines = [place.machines.get(build) for place in self.part()]
+                    machines = [place.machines.get(offer.build) for place in part]
                     if all(one is not None and one.running for one in machines):
                         break
                     await anyio.sleep(LOOK_EVERY)
                 await anyio.sleep(CLOCK_AFTER)
-                if self.moving == moving:
-                    self.clock_from = self.record.now()
+                if offer.moving == moving:
+                    offer.clock_from = self.record.now()
 
             tasks.start_soon(clock)
 
-    async def replace(self, place: Place, build: int) -> None:
-        await self.fleet.launch(place, build)
-        if not self.terms.beside and self.build == build and self.phase in ("on_trial", "released"):
-            for earlier in [one for one in place.machines if one != build]:
+    async def replace(self, place: Place, offer: Offer) -> None:
+        await self.fleet.launch(place, offer.build)
+        if not self.terms.beside and offer.phase in ("on_trial", "released"):
+            for earlier in [one for one in place.machines if one != offer.build]:
                 self.fleet.drain(place, earlier)
 
-    async def advance(self) -> None:
-        if self.stage + 1 < len(self.terms.caps):
-            self.stage += 1
-            self.publish()
-            self.enter_stage()
+    async def advance(self, offer: Offer) -> None:
+        if offer.stage + 1 < len(self.terms.caps):
+            offer.stage += 1
+            self.publish(offer)
+            self.enter_stage(offer)
             return
-        self.phase = "released"
-        self.publish()
-        self.retire_earlier()
-
-    def retire_earlier(self) -> None:
-        for place in self.fleet.places:
-            newest = place.machines.get(self.build)
+        offer.phase = "released"
+        self.publish(offer)
+        self.retire_earlier(offer)
+        for place in self.free(offer, self.fleet.places):
+            if offer.build not in place.machines:
+                self.tasks.start_soon(self.replace, place, offer)
+
+    def retire_earlier(self, offer: Offer) -> None:
+        """Where its machine runs the others go, but for those of another trial."""
+        for place in self.free(offer, self.fleet.places):
+            newest = place.machines.get(offer.build)
             if newest is not None and newest.running:
-                for earlier in [one for one in place.machines if one != self.build]:
+                for earlier in [one for one in place.machines if one != offer.build]:
                     self.fleet.drain(place, earlier)
 
-    def start_back(self, why: str) -> None:
-        self.record.note("sent_back", build=self.build, why=why)
-        self.phase = "going_back"
-        self.moving += 1
-        self.publish()
-        self.tasks.start_soon(self.go_back, self.build)
+    def start_back(self, offer: Offer, why: str) -> None:
+        self.record.note("sent_back", build=offer.build, why=why)
+        offer.phase = "going_back"
+        offer.moving += 1
+        self.publish(offer)
+        self.tasks.start_soon(self.go_back, offer)
 
-    async def go_back(self, build: int) -> None:
-        """New machines of the earlier build first, where the old ones have gone."""
+    async def go_back(self, offer: Offer) -> None:
+        """New machines of the build that serves first, where the old ones have gone."""
+        good = max(one.build for one in self.offers if one.phase == "released")
 
         async def back(place: Place) -> None:
-            earlier = place.machines.get(self.good)
+            earlier = place.machines.get(good)
             if earlier is None or earlier.draining:
                 if earlier is not None:
                     self.fleet.remove(place, earlier)
-                await self.fleet.launch(place, self.good)
-            self.fleet.drain(place, build)
+                await self.fleet.launch(place, good)
+            self.fleet.drain(place, offer.build)
 
         async with anyio.create_task_group() as tasks:
             for place in self.fleet.places:
-                if build in place.machines:
+                if offer.build in place.machines:
                     tasks.start_soon(back, place)
-        self.phase = "withdrawn"
-        self.publish()
+        offer.phase = "withdrawn"
+        self.publish(offer)
 
     # Tallies
 
--- a/gullmount/state.py
+++ b/gullmount/state.py
@@ -5,7 +5,8 @@
 from math import inf
 from typing import Protocol
 
-from gullmount.interface import BoxState, Listed, Outcome, Route
+from gullmount.interface import BoxState, Listed, Outcome, Phase, Route, Verdict
+from gullmount.samples import Counts, Times
 
 
 class HearsOfTries(Protocol):
@@ -35,6 +36,30 @@
         self.told = now
 
 
+class Trial:
+    """Lives from the first news of a build until a newer one is told of and it has ended."""
+
+    def __init__(self, build: int, stage: int, phase: Phase, cap: float) -> None:
+        self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
+        self.share = 0.0
+        self.end: int | None = None  # of the hash: 0 grows up from below, 1 down from above
+        self.widest = 0.0  # the largest share that it has had
+        self.crowded = False  # whether more keys met it than are remembered one by one
+        self.failing: set[str] = set()
+        self.calm: Times = {}
+        self.counts = Counts()
+        self.slowed = 0.0
+        self.released_at = 0.0
+        self.verdict = Verdict.NONE, False
+        self.vote_again = 0.0
+        self.opinions: dict[int, tuple[Verdict, int, float]] = {}
+
+    def holds(self, place: float, share: float | None = None) -> bool:
+        """Whether the place lies in its part of the hash, or in one as wide as `share`."""
+        wide = self.share if share is None else share
+        return place >= 1 - wide if self.end else place < wide
+
+
 class Try:
     """Lives as long as one upstream try."""
 
--- a/gullmount/umpire/control.py
+++ b/gullmount/umpire/control.py
@@ -320,10 +320,11 @@
                 status, answer = await call(self.net, self.terms.address, "POST", "/v1/votes", body)
             if status != 200:  # noqa: PLR2004 (HTTP: ok)
                 raise Refused(f"status {status}")
-            self.news(decode(answer).get("news"))
+            for line in answer.splitlines():
+                self.news(decode(line).get("news"))
         except (Refused, NotUnderstood, TimeoutError) as fault:
             self.host.write_log("vote not answered", why=str(fault) or "no answer in time")
-            self.host.umpire.vote_failed()
+            self.host.umpire.vote_failed(build)
 
 
 class Peers:
--- a/gullmount/umpire/running.py
+++ b/gullmount/umpire/running.py
@@ -20,6 +20,7 @@
 from gullmount.umpire.terms import UmpireTerms
 
 LOOK_EVERY = 0.01  # s between looks whether the last answers have left, at a stop
+NEWS_KEPT = 3  # newest builds whose state is remembered: two trials and what was released last
 SAVE_EVERY = 0.1  # s between writes of what is remembered: a list that changes more often is written less
 
 
@@ -69,7 +70,7 @@
         self.log = log
         self.listening = anyio.Event()
         self.remembered: dict[str, dict[str, Any]] = {}
-        self.last_news: dict[str, Any] | None = None
+        self.last_news: dict[int, dict[str, Any]] = {}
         self.to_save = anyio.Event()
         self.known_boxes = anyio.Event()
         self.known_build = anyio.Event()
@@ -162,8 +163,9 @@
 
     def note_news(self, news: dict[str, Any]) -> None:
         told = {name: news[name] for name in ("build", "stage", "phase", "cap")}
-        if told != self.last_news:
-            self.last_news = told
+        if told != self.last_news.get(told["build"]):
+            self.last_news[told["build"]] = told
+            self.last_news = {build: self.last_news[build] for build in sorted(self.last_news)[-NEWS_KEPT:]}
             self.to_save.set()
         self.known_build.set()
 
@@ -171,7 +173,11 @@
         while True:
             await self.to_save.wait()
             self.to_save = anyio.Event()
-            kept = {"v": VERSION, "boxes": list(self.remembered.values()), "news": self.last_news}
+            kept = {
+                "v": VERSION,
+                "boxes": list(self.remembered.values()),
+                "news": list(self.last_news.values()),
+            }
             try:
                 await self.memory.save(msgspec.json.encode(kept))
             except OSError as fault:
@@ -188,7 +194,7 @@
             return check(decode(data), {"boxes": list})
         except (OSError, NotUnderstood) as fault:
             self.log("memory not understood", why=str(fault))
-            return {"boxes": [], "news": None}
+            return {"boxes": [], "news": []}
 
     def believe(self, remembered: dict[str, Any]) -> None:
         """Start from the remembered list and the launcher's last word; a cap that fell since then binds as
@@ -207,8 +213,9 @@
         if lines:
             self.host.umpire.listed(ListKind.REMEMBERED, lines)
             self.known_boxes.set()
-        if remembered.get("news") is not None:
+        news = remembered.get("news") or []
+        for told in news if isinstance(news, list) else [news]:  # one alone, as it was before two trials
             try:
-                self.launcher.news(remembered["news"])
+                self.launcher.news(told)
             except NotUnderstood as fault:
                 self.log("remembered news dropped", why=str(fault))
--- a/gullmount/umpire/terms.py
+++ b/gullmount/umpire/terms.py
@@ -127,6 +127,7 @@
     back_votes: PositiveInt
     votes_per_s: PositiveFloat
     tally_period: NotNegative = 0.0
+    at_once: PositiveInt = 1
 
 
 class RosterTerms(Described):
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -90,7 +90,7 @@
 
         def at_once(build: int, stage: int, phase: Phase, cap: float) -> None:
             news(build, stage, phase, cap)
-            umpire.share = cap
+            umpire.trials[-1].share = cap
 
         umpire.news = at_once  # type: ignore[method-assign]
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -250,7 +250,7 @@
 def test_full_pools_shed_and_keys_do_not_flip() -> None:
     for build, share in ((1, 0.0), (2, 0.5)):
         bench = on_trial()
-        bench.umpire.share = share
+        bench.umpire.trials[-1].share = share
         bench.umpire.widths[build].width, bench.umpire.widths[build].open = 0.0, 1
         reqs = [bench.take("look", f"k{number}") for number in range(40)]
         assert {bool(req.tries) for req in reqs if (req.place < 0.5) is (build == 2)} == {False}
@@ -320,7 +320,8 @@
         bench.pass_time(0.02)
     assert len(met) > 150 and len(bench.umpire.met) <= 51
     bench.umpire.update_share = lambda now: None
-    bench.umpire.share = 0.0  # as after a cap that fell: only what is remembered keeps a key on its build
+    # As after a cap that fell: only what is remembered keeps a key on its build.
+    bench.umpire.trials[-1].share = 0.0
     for key in sorted(met):
         before = len(bench.sends)
         bench.finish(bench.take("look", key))
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -148,7 +148,7 @@
 def test_killed_umpire_serves_again_from_its_remembered_list(around: Surroundings, file: Path) -> None:
     process = started(file)
     saved = b""
-    while b'"news":{' not in saved or b'"boxes":[{' not in saved:  # they come apart, and are saved apart
+    while b'"news":[{' not in saved or b'"boxes":[{' not in saved:  # they come apart, and are saved apart
         saved = (file.parent / "boxes.json").read_bytes()
         time.sleep(0.05)
     os.kill(process.pid, signal.SIGKILL)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -93,7 +93,7 @@
         self.seen = 0
         self.umpire = self.bench.umpire
         self.umpire.allowed = self.watch(self.umpire.allowed)
-        self.umpire.share, self.umpire.update_share = 0.9, lambda now: None  # both in use
+        self.umpire.trials[-1].share, self.umpire.update_share = 0.9, lambda now: None  # both in use
         self.bench.send = self.on_send
         self.bench.shed = lambda req, _: self.on_answer(req, "shed")
         self.bench.error = lambda req: self.on_answer(req, "error")
