Blame: an inquest over all umpires' evidence says which of two builds goes back

Need: with two builds on trial the judge of each umpire sees too little and lays what slows all boxes to whichever build stands: a shared dependency sent a good build back, and a build failing one req in six stood for 20 s.

Change: gullmount/blame, without I/O: sums of what tries came to by second, box and route, told by all umpires to the first two; errors by an exact test, times by box against what serves in the same seconds, and slowness of all fitted to each build's share, to the load or to a step of its own. A trial moves on only if nothing speaks against it, one at a time.

--- a/gullmount/benchlink/link.py
+++ b/gullmount/benchlink/link.py
@@ -72,7 +72,13 @@
     "Due": {"Who": int, "Name": int},
     "RolloutState": {"Who": int, "Disposition": int},
     "Tally": {
-        "Who": int, "Grade": str, "Ver": int, "N": int, "Lost": int, "CostTimeUs": MAYBE_INT, "AgeUs": int,
+        "Who": int,
+        "Grade": str,
+        "Ver": int,
+        "N": int,
+        "Lost": int,
+        "CostTimeUs": MAYBE_INT,
+        "AgeUs": int,
     },
     "NoteFrom": {"Who": int, "Neighbour": int, "Msg": str},
     "ProbeResult": {"Who": int},
@@ -81,7 +87,12 @@
 Fields = dict[str, type | tuple[type, ...]]
 STATE_FIELDS: Fields = {"Ver": int, "Step": int, "WhereAt": int, "Allowed": NUMBER}  # of an ok state
 ENTRY_FIELDS: Fields = {
-    "Box": str, "Zone": str, "Bay": int, "Build": int, "Availability": str, "PowerHint": NUMBER,
+    "Box": str,
+    "Zone": str,
+    "Bay": int,
+    "Build": int,
+    "Availability": str,
+    "PowerHint": NUMBER,
     "LastStartUs": MAYBE_INT,
 }
 
--- /dev/null
+++ b/gullmount/blame/dose.py
@@ -0,0 +1,112 @@
+"""Why all boxes slow down at once: by a build's share, by the load, or by something of its own.
+
+What differs is the dose: a build that hurts what all share slows them as far as its share has moved, each
+time it moves; a dependency slows them whatever the shares do. Each explanation is fitted to the seconds' mean
+times by least squares and pays for its freedom (Schwarz's criterion).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from math import log
+
+import numpy as np
+from numpy.typing import NDArray
+
+NOISE = 0.16  # octaves by which a second's mean time varies beyond chance: loads, queues
+STRENGTHS = tuple(
+    0.25 * 1.25**step for step in range(20)
+)  # slowdown for each whole share, tried in turn: to 17
+STEPS_LEAST = 3  # slices that a step must last to be one
+BUILD_FREEDOM = 2.0  # a build's strength, and that there is one
+LOAD_FREEDOM = 2.0
+STEP_FREEDOM = 3.0  # height, begin and end; both are looked for, which is paid for by the number of places
+MOVES_LEAST = 0.03  # of all tries, that a share must have spanned to explain anything
+
+Numbers = NDArray[np.float64]
+
+
+@dataclass(frozen=True)
+class Seconds:
+    """Slices in their order: the mean time in octaves, its variance by chance, reqs, and shares by build."""
+
+    means: Numbers
+    variances: Numbers
+    reqs: Numbers
+    shares: Mapping[int, Numbers]
+
+
+@dataclass(frozen=True)
+class Explained:
+    """The explanations, the best first, each with how much worse it is than the best."""
+
+    order: Sequence[tuple[str, int, float]]  # what, build, Schwarz's difference
+    risen: float  # octaves now above the calm before, by the best
+    strength: float  # of the best, if a build's
+
+    @property
+    def best(self) -> tuple[str, int, float]:
+        return self.order[0]
+
+    @property
+    def margin(self) -> float:
+        return self.order[1][2] if len(self.order) > 1 else 0.0
+
+
+def fit(y: Numbers, weight: Numbers, shape: Numbers) -> tuple[float, float, float]:
+    """Least squares of y on a level and the shape, not downward: what is left, the level, the factor."""
+    whole = weight.sum()
+    middle, centre = (weight * y).sum() / whole, (weight * shape).sum() / whole
+    spread = (weight * (shape - centre) ** 2).sum()
+    factor = max(0.0, float((weight * (shape - centre) * (y - middle)).sum() / spread)) if spread > 0 else 0.0
+    level = float(middle - factor * centre)
+    return float((weight * (y - level - factor * shape) ** 2).sum()), level, factor
+
+
+def explain(seconds: Seconds) -> Explained:
+    y = seconds.means
+    count = len(y)
+    weight = 1 / (seconds.variances + NOISE**2)
+    price = log(max(2, count))
+    none, _, _ = fit(y, weight, np.zeros(count))
+    found: list[tuple[float, str, int, float, float]] = [(none, "nothing", 0, 0.0, 0.0)]
+    for build, share in sorted(seconds.shares.items()):
+        if share.max() - share.min() >= MOVES_LEAST:
+            left, strength, risen = by_share(y, weight, share)
+            found.append((left + BUILD_FREEDOM * price, "build", build, risen, strength))
+    load = np.log2(np.maximum(seconds.reqs, 1.0))
+    left, _, factor = fit(y, weight, load)
+    risen = factor * float(load[-STEPS_LEAST:].mean() - np.median(load))
+    found.append((left + LOAD_FREEDOM * price, "load", 0, risen, 0.0))
+    left, risen = by_step(y, weight)
+    found.append((left + STEP_FREEDOM * price, "shared", 0, risen, 0.0))
+    found.sort(key=lambda one: one[0])
+    order = [(what, build, cost - found[0][0]) for cost, what, build, _, _ in found]
+    return Explained(order, found[0][3], found[0][4])
+
+
+def by_share(y: Numbers, weight: Numbers, share: Numbers) -> tuple[float, float, float]:
+    """What is left, the strength, and the rise now, where times follow 1 + strength x share."""
+    best = (float("inf"), 0.0, 0.0)
+    for strength in STRENGTHS:
+        shape = np.log2(1 + strength * share)
+        level = float((weight * (y - shape)).sum() / weight.sum())
+        left = float((weight * (y - level - shape) ** 2).sum())
+        if left < best[0]:
+            best = left, strength, float(shape[-STEPS_LEAST:].mean())
+    return best
+
+
+def by_step(y: Numbers, weight: Numbers) -> tuple[float, float]:
+    """What is left and the rise now, where times rose at some second and may have fallen again."""
+    count = len(y)
+    best = (float("inf"), 0.0)
+    for begin in range(1, count - STEPS_LEAST + 1):
+        for end in [*range(begin + STEPS_LEAST, count - 1, 2), count]:
+            shape = np.zeros(count)
+            shape[begin:end] = 1.0
+            left, _, factor = fit(y, weight, shape)
+            if left < best[0]:
+                best = left, factor if end == count else 0.0
+    return best
--- /dev/null
+++ b/gullmount/blame/inquest.py
@@ -0,0 +1,383 @@
+"""Looks at what all umpires saw and says which trial goes back, which may move on, and why.
+
+Each umpire tells the first few, the judges, what it saw; their standing comes back and all vote by it. An
+umpire that hears no judge goes by what it saw itself.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from math import exp, sqrt
+from statistics import NormalDist
+
+import numpy as np
+
+from gullmount.blame.compare import (
+    FAIL_MARGIN,
+    SLOW_RATIO,
+    Boxes,
+    Errors,
+    Seen,
+    Slowness,
+    errors,
+    octaves,
+)
+from gullmount.blame.dose import Explained, Seconds, explain
+from gullmount.blame.evidence import KEPT, SLICE, Evidence, Place, Row
+from gullmount.blame.findings import Cause, Finding, Standing
+from gullmount.interface import Grounds, Phase, Route, Verdict
+from gullmount.state import Box, Trial
+
+JUDGES = 2  # umpires that are told what all saw: one may be killed or cut off
+TELL_EVERY = 0.5  # s between tellings, of evidence and of standings
+LOOK_EVERY = 0.5  # s between looks at the evidence
+STANDS_FOR = 2.5  # s that a judge's standing holds: some may get lost
+SIGHT = 20.0  # s over which builds are compared: long enough for a first stage's few tries
+FALSE_ALARM = 0.01  # chance that good builds are blamed in a wave, over all looks and tests
+LOOKS = 4.0  # independent looks at the evidence while it changes in a wave
+DOUBT = 0.03  # chance below which a build is not moved on, though not blamed
+FAILED_LEAST = 2  # errors without which none is blamed: one may be a broken req
+WARM = 0.7  # of full warmth from which on a time counts: below it the guess of the rest outweighs it
+SETTLE = 3.0  # s after the newest start before a stage is moved on: the design's
+CLEAN = 20  # tries that allow it, as in the design
+CLEAN_FEW = 5  # without any error
+CONSENT = 2.0  # s more for so few
+SLOW_SEEN = (
+    1.1  # octaves by which it must not be slower, as far as can be told: else there is too little seen
+)
+SURE_SIDE = 1.64  # deviations of that
+BASE_LEAST = 15  # tries of what serves in sight; with fewer the other trial is compared with too
+RISEN = 0.4  # octaves above the calm before from which on service has fallen
+SURE_MARGIN = 9.0  # Schwarz's difference from which on a build is blamed for slowing all: 1 in 90 a look
+LIKELY_MARGIN = 4.0  # from which on a cause that sends nothing back is named
+SECONDS_LEAST = 8  # slices to explain anything
+LATEST = 2  # newest slices left out: others' part of them has not come
+DOSE_OVER = 2  # slices over which a share is taken: what it does to others takes that long to show
+STAGGER = 2.5  # s after one trial's move before the other's: moves at once could not be told apart
+RELEASED_FOR = 8.0  # s after a release in which a build can still be blamed: only then it bears all
+ZONE_RISEN = 0.7  # octaves that a zone's boxes rise above the others' for it to be the zone
+ZONE_NEW = 5.0  # s that are compared with those before for that
+TAKEN_OFF = (Phase.GOING_BACK, Phase.WITHDRAWN)
+Blamed = tuple[Trial, Verdict, str]
+
+
+class Inquest:
+    """Lives as long as the instance. `tell_rows` and `tell_standing` send to a peer, `on_finding` logs."""
+
+    def __init__(self, number: int, umpires: int, may_tell: bool) -> None:
+        self.number = number
+        self.may_tell = may_tell and umpires > 1
+        self.judges = min(JUDGES, umpires) if self.may_tell else umpires
+        self.peers = [peer for peer in range(umpires) if peer != number] if self.may_tell else []
+        self.seen = Evidence()
+        self.fresh = Evidence()
+        self.moved: dict[int, tuple[int, Phase, float]] = {}
+        self.heard: dict[int, tuple[Standing, float]] = {}
+        self.standing = Standing(Finding(Cause.NOTHING))
+        self.told_at = self.looked_at = self.heard_at = -1e9
+        self.tell_rows: Callable[[int, list[Row]], None] | None = None
+        self.tell_standing: Callable[[int, Standing], None] | None = None
+        self.on_finding: Callable[[Finding], None] | None = None
+
+    @classmethod
+    def of(cls, grounds: Grounds) -> Inquest | None:
+        """Where two trials may stand there is one."""
+        return cls(grounds.number, grounds.umpires, grounds.may_tell) if grounds.release.at_once > 1 else None
+
+    # What comes in
+
+    def note(self, now: float, box: Box, route: Route, latency: float, warmth: float, failed: bool) -> None:
+        """A try ended that its box answered or kept too long; `latency` in seconds."""
+        place = Place(box.id, box.build, box.zone, route.name)
+        told = latency / route.objective * warmth if warmth >= WARM and not failed else None
+        self.seen.note(now, place, told, failed)
+        if self.may_tell:
+            self.fresh.note(now, place, told, failed)
+
+    def heard_rows(self, now: float, rows: Iterable[Row]) -> None:
+        self.seen.merge(now, rows)
+
+    def heard_standing(self, now: float, judge: int, standing: Standing) -> None:
+        if judge < self.judges:
+            self.heard[judge] = standing, now
+
+    # What goes out
+
+    def look(self, now: float, trials: Sequence[Trial], boxes: Iterable[Box]) -> list[Blamed]:
+        """What is to be voted now."""
+        self.note_moves(now, trials)
+        judge = self.number < self.judges
+        standings = [told for told, at in self.heard.values() if now - at < STANDS_FOR]
+        if judge or not standings:
+            if now - self.looked_at >= LOOK_EVERY:
+                self.looked_at = now
+                self.inquire(now, trials, list(boxes))
+            standings.append(self.standing)
+        elif self.standing.finding.key != standings[0].finding.key:
+            self.standing = standings[0]
+        if self.may_tell and now - self.told_at >= TELL_EVERY:
+            self.told_at = now
+            self.tell(now, judge)
+        return self.votes(trials, standings)
+
+    def tell(self, now: float, judge: bool) -> None:
+        rows = self.fresh.rows(now)
+        self.fresh = Evidence()
+        for peer in self.peers:
+            if peer < self.judges and rows and self.tell_rows is not None:
+                self.tell_rows(peer, rows)
+            if judge and self.tell_standing is not None:
+                self.tell_standing(peer, self.standing)
+
+    def votes(self, trials: Sequence[Trial], standings: list[Standing]) -> list[Blamed]:
+        """Any judge's blame sends back; a trial moves on only where none of them has a doubt."""
+        said: list[Blamed] = []
+        for trial in trials:
+            if trial.phase in TAKEN_OFF:
+                continue
+            why = [one.blamed[trial.build] for one in standings if trial.build in one.blamed]
+            for one in standings:
+                trial.failing.update(one.failing.get(trial.build, ()))
+            if why:
+                said.append((trial, Verdict.BACK, why[0]))
+            elif trial.phase is Phase.ON_TRIAL and all(
+                one.clear.get(trial.build) == trial.stage for one in standings
+            ):
+                said.append((trial, Verdict.ON, "nothing against it"))
+            elif trial.verdict[0] is not Verdict.NONE:
+                said.append((trial, Verdict.NONE, "held"))
+        return said
+
+    def note_moves(self, now: float, trials: Sequence[Trial]) -> None:
+        for trial in trials:
+            stage, phase, _ = self.moved.get(trial.build, (-1, Phase.RELEASED, 0.0))
+            if (stage, phase) != (trial.stage, trial.phase):
+                self.moved[trial.build] = trial.stage, trial.phase, now
+        for build in [build for build in self.moved if all(build != trial.build for trial in trials)]:
+            del self.moved[build]
+
+    # The inquest
+
+    def inquire(self, now: float, trials: Sequence[Trial], boxes: list[Box]) -> None:
+        before = self.standing.finding
+        standing = Standing(Finding(Cause.NOTHING))
+        seen = list(self.seen.since(now, SIGHT))
+        open_builds = {trial.build for trial in trials if trial.phase is not Phase.RELEASED}
+        findings: list[Finding] = []
+        doubted: set[int] = set()
+        for trial in trials:
+            if self.may_be_blamed(trial, now):
+                against, doubt = self.compare(seen, trial.build, open_builds)
+                findings += against
+                doubted |= {trial.build} if doubt else set()
+        for found in findings:
+            standing.blamed.setdefault(found.build, found.words())
+            if found.route:
+                standing.failing.setdefault(found.build, []).append(found.route)
+        general = self.general(now, trials, open_builds)
+        if general.cause is Cause.BUILD:
+            standing.blamed.setdefault(general.build, general.words())
+            findings.append(general)
+        if general.cause in (Cause.NOTHING, Cause.ZONE, Cause.BOXES):
+            # Only one moves at a time, the oldest first: what follows a move can then be laid to it.
+            for trial in trials:
+                others = [at for build, (_, _, at) in self.moved.items() if build != trial.build]
+                alone = all(now - at >= STAGGER for at in others)
+                fit = trial.build not in standing.blamed and trial.build not in doubted
+                if trial.phase is Phase.ON_TRIAL and fit and alone and self.clean(seen, trial, now, boxes):
+                    standing.clear[trial.build] = trial.stage
+                    break
+        standing.finding = max(findings, key=lambda one: one.sure) if findings else general
+        self.standing = standing
+        if standing.finding.key != before.key and self.on_finding is not None:
+            self.on_finding(standing.finding)
+
+    def may_be_blamed(self, trial: Trial, now: float) -> bool:
+        _, phase, at = self.moved[trial.build]
+        return phase is Phase.ON_TRIAL or (
+            phase is Phase.RELEASED and trial.released_at > 0 and now - at < RELEASED_FOR
+        )
+
+    def serves(self, seen: Seen, build: int, open_builds: set[int]) -> Callable[[int], bool]:
+        """Whether a build is one to compare with: it serves, or too little does and it is the other trial."""
+        tries = sum(
+            cell.tries for _, place, cell in seen if place.build != build and place.build not in open_builds
+        )
+        if tries >= BASE_LEAST:
+            return lambda rev: rev != build and rev not in open_builds
+        return lambda rev: rev != build
+
+    def compare(self, seen: Seen, build: int, open_builds: set[int]) -> tuple[list[Finding], bool]:
+        """What the build is blamed for beside what serves, and whether there is a doubt that holds it."""
+        base = self.serves(seen, build, open_builds)
+        zones = sorted({place.zone for _, place, _ in seen if place.build == build})
+        routes = sorted({place.route for _, place, _ in seen if place.build == build})
+        alarm = FALSE_ALARM / (LOOKS * self.judges * 2 * (1 + len(zones) + len(routes)))
+        whole = errors(seen, build, base)
+        by_zone = {zone: errors([one for one in seen if one[1].zone == zone], build, base) for zone in zones}
+        by_route = {
+            route: errors([one for one in seen if one[1].route == route], build, base) for route in routes
+        }
+        found: list[Finding] = []
+
+        def guilty(one: Errors) -> bool:
+            return one.failed >= FAILED_LEAST and one.more > FAIL_MARGIN and one.p < alarm
+
+        tests = [whole, *by_zone.values(), *by_route.values()]
+        least = min(tests, key=lambda one: one.p)
+        if guilty(least):
+            zone = only(zones, [zone for zone in zones if by_zone[zone].failed], by_zone)
+            route = only(routes, [route for route in routes if by_route[route].failed], by_route)
+            found.append(
+                Finding(
+                    Cause.BUILD, build, "fails", zone, route, 1 - least.p, least.words(), seen=whole.tries
+                )
+            )
+        boxes = Boxes(seen, base)
+        slow = {zone: boxes.slowness(build, zone) for zone in ["", *zones]}
+        worst = min(slow.values(), key=lambda one: one.p)
+        if worst.ratio > SLOW_RATIO and worst.p < alarm:
+            sound = [zone for zone in zones if slow[zone].p > DOUBT and slow[zone].timed >= CLEAN_FEW]
+            bad = [zone for zone in zones if slow[zone].p < DOUBT]
+            zone = bad[0] if len(bad) == 1 and len(bad) + len(sound) > 1 else ""
+            found.append(
+                Finding(Cause.BUILD, build, "slow", zone, "", 1 - worst.p, worst.words(), seen=worst.timed)
+            )
+        doubt = any(one.failed and one.p < DOUBT for one in tests)
+        doubt = doubt or any(doubtful(one) for one in slow.values()) or not quick(slow[""], boxes)
+        return found, doubt
+
+    def clean(self, seen: Seen, trial: Trial, now: float, boxes: list[Box]) -> bool:
+        ages = [box.age(now) for box in boxes if box.build == trial.build and box.ready]
+        if not ages or min(ages) < SETTLE:
+            return False
+        tries = sum(cell.tries for _, place, cell in seen if place.build == trial.build)
+        failed = sum(cell.failed for _, place, cell in seen if place.build == trial.build)
+        few = tries >= CLEAN_FEW and not failed and min(ages) >= SETTLE + CONSENT
+        return tries - failed >= CLEAN or few
+
+    # What slows all
+
+    def general(self, now: float, trials: Sequence[Trial], open_builds: set[int]) -> Finding:
+        """Whether all that serves has slowed, and what explains it."""
+        seconds, tries = self.seconds(now, open_builds)
+        if len(seconds.means) < SECONDS_LEAST:
+            return Finding(Cause.NOTHING, seen=tries)
+        explained = explain(seconds)
+        what, build, _ = explained.best
+        if explained.risen < RISEN or what == "nothing":
+            return self.places(now, open_builds, tries)
+        figures = words(explained, seconds)
+        sure = 1 - exp(-explained.margin / 2)
+        suspects = {
+            trial.build for trial in trials if trial.phase in TAKEN_OFF or self.may_be_blamed(trial, now)
+        }
+        if what == "build" and build in suspects:
+            if explained.margin >= SURE_MARGIN:
+                return Finding(Cause.BUILD, build, "slows all", "", "", sure, figures, seen=tries)
+            return Finding(Cause.UNKNOWN, 0, "", "", "", sure, figures, "the next move of a share", tries)
+        if what != "build" and explained.margin >= LIKELY_MARGIN:
+            return Finding(Cause(what), 0, "", "", "", sure, figures, seen=tries)
+        return Finding(Cause.UNKNOWN, 0, "", "", "", sure, figures, "the next move of a share", tries)
+
+    def seconds(self, now: float, open_builds: set[int]) -> tuple[Seconds, int]:
+        """The mean time of what serves in each slice, route by route, and each trial's share of the tries."""
+        last = int(now / SLICE) - LATEST
+        cells = [one for one in self.seen.since(now, KEPT * SLICE) if one[0] <= last]
+        parts = sorted({part for part, _, _ in cells})
+        index = {part: number for number, part in enumerate(parts)}
+        count = len(parts)
+        tries = np.zeros(count)
+        by_build = {build: np.zeros(count) for build in sorted({place.build for _, place, _ in cells})}
+        for part, place, cell in cells:
+            tries[index[part]] += cell.tries
+            by_build[place.build][index[part]] += cell.tries
+        served = [one for one in cells if one[1].build not in open_builds and one[2].timed]
+        usual: dict[str, list[float]] = {}
+        for _, place, cell in served:
+            sums = usual.setdefault(place.route, [0, 0.0])
+            sums[0] += cell.timed
+            sums[1] += cell.total
+        timed, total, squares = np.zeros(count), np.zeros(count), 0.0
+        for part, place, cell in served:
+            mean = usual[place.route][1] / usual[place.route][0]
+            timed[index[part]] += cell.timed
+            total[index[part]] += cell.total - cell.timed * mean
+            squares += cell.squares - 2 * mean * cell.total + cell.timed * mean * mean
+        known = timed >= 3  # noqa: PLR2004 (a mean of fewer says nothing)
+        means = total[known] / timed[known]
+        variance = max(0.0, squares / max(1.0, timed.sum()) - float(np.var(means) if known.any() else 0.0))
+        shares = {
+            build: trailing(counts / np.maximum(tries, 1))[known]
+            for build, counts in by_build.items()
+            if build in open_builds or build == max(by_build)
+        }
+        return Seconds(means, variance / timed[known], tries[known], shares), int(tries.sum())
+
+    def places(self, now: float, open_builds: set[int], tries: int) -> Finding:
+        """Nothing slows all: whether one zone's boxes have slowed, whatever they run."""
+        sums: dict[tuple[str, bool], list[float]] = {}
+        for part, place, cell in self.seen.since(now, SIGHT):
+            if cell.timed and place.build not in open_builds:
+                new = part * SLICE >= now - ZONE_NEW
+                one = sums.setdefault((place.zone, new), [0, 0.0])
+                one[0] += cell.timed
+                one[1] += cell.total
+        rises = {
+            zone: sums[zone, True][1] / sums[zone, True][0] - total / timed
+            for (zone, new), (timed, total) in sums.items()
+            if not new and min(timed, sums.get((zone, True), [0])[0]) >= CLEAN
+        }
+        for zone, rise in sorted(rises.items()):
+            others = [one for at, one in rises.items() if at != zone]
+            if others and min(rise, rise - max(others)) > ZONE_RISEN:
+                figures = (
+                    f"times in zone {zone} rose {2**rise:.2f} times, elsewhere {2 ** max(others):.2f} at most"
+                )
+                return Finding(Cause.ZONE, 0, "", zone, "", 0.95, figures, seen=tries)
+        return Finding(Cause.NOTHING, seen=tries)
+
+
+def trailing(share: np.ndarray) -> np.ndarray:
+    """The mean of each and the ones before, as far as a share's effect lasts."""
+    out = share.copy()
+    for back in range(1, DOSE_OVER):
+        out[back:] += share[:-back]
+        out[:back] += share[:back]
+    return out / DOSE_OVER
+
+
+def only(all_of: list[str], failing: list[str], tests: dict[str, Errors]) -> str:
+    """The one part that fails where others were tried well enough without; none otherwise."""
+    if len(failing) != 1 or len(all_of) < 2:  # noqa: PLR2004 (there must be another)
+        return ""
+    share = tests[failing[0]].failed / tests[failing[0]].tries
+    others = sum(tests[part].tries for part in all_of if part != failing[0])
+    return failing[0] if (1 - share) ** others < DOUBT else ""
+
+
+def doubtful(one: Slowness) -> bool:
+    return one.p < DOUBT and one.ratio > sqrt(SLOW_RATIO)
+
+
+def quick(one: Slowness, boxes: Boxes) -> bool:
+    """Whether enough was seen to say that the build is not far slower."""
+    if not one.timed or not one.base_boxes:
+        return one.base_boxes == 0
+    deviation = (octaves(one.ratio) / NormalDist().inv_cdf(1 - one.p)) if 0 < one.p < 0.5 else None  # noqa: PLR2004
+    if deviation is None:
+        deviation = sqrt(boxes.between / max(1, one.boxes) + boxes.within / one.timed)
+    return octaves(one.ratio) + SURE_SIDE * deviation < SLOW_SEEN
+
+
+def words(explained: Explained, seconds: Seconds) -> str:
+    shares = ", ".join(
+        f"build {build} {share[0]:.2f} to {share[-1]:.2f}" for build, share in sorted(seconds.shares.items())
+    )
+    others = ", ".join(
+        f"{what}{f' {build}' if build else ''} {worse:.1f} worse"
+        for what, build, worse in explained.order[1:]
+    )
+    what, build, _ = explained.best
+    best = f"build {build}'s share" if what == "build" else what
+    return f"all boxes {2**explained.risen:.2f} times slower; best told by {best} ({others}); shares {shares}"
--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -15,6 +15,7 @@
 from statistics import NormalDist, median
 
 from gullmount import samples
+from gullmount.blame import Inquest
 from gullmount.interface import (
     BoxState,
     Grounds,
@@ -162,7 +163,7 @@
         life = TOLD_LIFE if self.pooled else release.vote_life
         asked = 0.0 if self.pooled else many * release.at_once / release.votes_per_s
         late = max(life * RENEW, min(life * RENEW_LATE, asked))
-        self.renew = {Verdict.BACK: life * RENEW, Verdict.ON: late}
+        self.renew = {Verdict.BACK: life * RENEW, Verdict.ON: late, Verdict.NONE: life}
 
     def spared(self, boxes: int) -> int:
         """How many of so many boxes are left out: broken or crowded ones must not convict a build."""
@@ -220,6 +221,7 @@
         self.base_counts: dict[str, tuple[int, int, float]] = {}
         self.warm_part = 1.0  # of the capacity of all ready boxes
         self.proof = Proof(grounds)
+        self.inquest = Inquest.of(grounds)
         if grounds.may_subscribe:
             host.subscribe()
         host.call_after(JUDGE_EVERY * self.random(), self.judge)
@@ -296,9 +298,8 @@
     def vote_failed(self, build: int | None = None) -> None:
         """The last vote got no good answer: a later look casts it again, not all umpires in step."""
         again = self.host.now() + self.random() * RECAST
-        for trial in self.trials:
-            if build in (None, trial.build):
-                trial.vote_again = again
+        for trial in [one for one in self.trials if build in (None, one.build)]:
+            trial.vote_again = again
 
     # Reqs
 
@@ -407,9 +408,6 @@
         released = trial is None or (trial.build == build and trial.phase is Phase.RELEASED)
         return None if released else trial
 
-    def on_trial(self, build: int) -> bool:
-        return self.side(build) is not None
-
     def allowed(self, req: Req, box: Box, now: float) -> bool:
         if not box.ready or req.settled or req.open_tries or len(req.tries) >= self.grounds.max_tries:
             return False
@@ -469,8 +467,8 @@
         """A build on trial has no more room a box than the others: what is loaded alike can be compared."""
         width = self.widths[build]
         most = width.width
-        if self.on_trial(build):
-            most = min([most] + [other.width for rev, other in self.widths.items() if not self.on_trial(rev)])
+        if self.side(build):
+            most = min([most] + [other.width for rev, other in self.widths.items() if not self.side(rev)])
         return width.open < max(1.0, most * len(self.pools[build]))
 
     def ready(self, side: Trial | None) -> list[Box]:
@@ -503,12 +501,10 @@
     def wanted(self, req: Req) -> Trial | None:
         """The trial that the req's key belongs to: by its place, or by what it met."""
         newest = self.trials[-1]
-        wanted = next((one for one in self.trials if self.side(one.build) and one.holds(req.place)), None)
-        if wanted is None and newest.holds(req.place):
-            wanted = newest
-        if wanted is not None and req.route.name in wanted.failing:
-            wanted = None
-        if req.tries and self.on_trial(req.tries[-1].build):
+        on_trial = (one for one in self.trials if self.side(one.build) and one.holds(req.place))
+        wanted = next(on_trial, newest if newest.holds(req.place) else None)
+        back = req.tries and self.side(req.tries[-1].build)
+        if wanted and (back or req.route.name in wanted.failing):
             wanted = None
         met = self.trial(self.met_by(req)) if req.key is not None else None
         if met is not None and (met is newest or self.side(met.build)):
@@ -592,11 +588,12 @@
     def note_evidence(self, req: Req, made: Try, outcome: Outcome, latency: float, now: float) -> None:
         if outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.TIMEOUT):
             # A cold box is slow. Where each umpire sees little, its time counts at the least warmth it had.
-            warmth = self.warmth(made.box, made.sent)
-            silent = outcome is Outcome.ERROR or (warmth < 1 and not self.proof.many)
+            warmth, failed = self.warmth(made.box, made.sent), outcome is Outcome.ERROR
+            if self.inquest:
+                self.inquest.note(now, made.box, req.route, latency, warmth, failed)
+            silent = failed or (warmth < 1 and not self.proof.many)
             time = -1.0 if silent else latency * warmth / req.route.objective
-            seen = Seen(now, time, outcome is Outcome.ERROR, made.box.id)
-            self.seen[made.build, req.route.name].append(seen)
+            self.seen[made.build, req.route.name].append(Seen(now, time, failed, made.box.id))
 
     def judge(self) -> None:
         """Compare both builds for each route over the same seconds and vote."""
@@ -608,6 +605,10 @@
                 outcomes.popleft()
             if not outcomes:
                 del self.seen[part]
+        if self.inquest:
+            for trial, verdict, why in self.inquest.look(now, self.trials, self.boxes.values()):
+                self.cast(trial, verdict, now, why, True)
+            return
         for trial in self.trials:
             self.judge_one(trial, now)
 
@@ -619,7 +620,7 @@
         span = max(SLICE, SLICE_NEEDS / rate) if self.proof.many else SLICE
         cands = {route: self.seen.get((trial.build, route), ()) for route in self.grounds.routes}
         since = min((cand[0].at for cand in cands.values() if cand), default=now) - span
-        serves = {rev for rev, _ in self.seen if rev != trial.build and not self.on_trial(rev)}
+        serves = {rev for rev, _ in self.seen if rev != trial.build and not self.side(rev)}
         bases = {route: samples.of_builds(self.seen, serves, route, since) for route in cands}
         least = self.proof.fail_least
         worse = {route for route, cand in cands.items() if self.fails_more(cand, bases[route], least)}
@@ -670,7 +671,7 @@
         if sum(seen.failed for seen in cand) < least:
             return False
         counts = samples.by_box(cand)
-        counts = counts[self.proof.spared(len(counts)):]
+        counts = counts[self.proof.spared(len(counts)) :]
         failed = sum(failures for failures, _ in counts)
         base_share = sum(seen.failed for seen in base) / len(base) if base else 0.0
         return failed >= least and failed / sum(total for _, total in counts) > base_share + FAIL_MARGIN
--- a/gullmount/samples.py
+++ b/gullmount/samples.py
@@ -78,8 +78,11 @@
 def of_builds(seen: Outcomes, builds: Collection[int], route: str, since: float) -> list[Seen]:
     """Outcomes of these builds on the route since then."""
     return [
-        one for (rev, name), outcomes in seen.items() if rev in builds and name == route
-        for one in outcomes if one.at >= since
+        one
+        for (rev, name), outcomes in seen.items()
+        if rev in builds and name == route
+        for one in outcomes
+        if one.at >= since
     ]
 
 
@@ -110,7 +113,7 @@
         for one in seen:
             if one.time >= 0:
                 times[one.box].append(one.time)
-    slowest = sorted(times, key=lambda box: -fmean(times[box]))[:spare(len(times))]
+    slowest = sorted(times, key=lambda box: -fmean(times[box]))[: spare(len(times))]
     return {route: [one for one in seen if one.box not in slowest] for route, seen in outcomes.items()}
 
 
--- a/gullmount/umpire/control.py
+++ b/gullmount/umpire/control.py
@@ -8,12 +8,13 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Callable
-from typing import Any
+from typing import Any, TypeVar
 
 import anyio
 import h11
 import msgspec
 
+from gullmount.blame import Cause, Finding, Row, Standing
 from gullmount.interface import BoxState, Listed, ListKind, Phase, Verdict
 from gullmount.net import BROKEN, Datagrams, Net
 from gullmount.umpire.host import SocketHost
@@ -23,14 +24,19 @@
 SILENT = 15.0  # s without a line after which a watch is given up: the sender says something each 5 s
 AGAIN = 0.5  # s before a broken watch is opened again, up to twice that by chance; doubles
 AGAIN_MOST = 4.0  # s of that at most: news must not be late for longer than a stage lasts
-PEER_MOST = 256  # bytes of a message to a peer
+PEER_MOST = 1400  # bytes of a message to a peer: what passes most networks in one piece
+ROW_ABOUT = 110  # bytes of a row of evidence, commonly
+WHY_MOST = 300  # characters of a verdict's words that are told
+TRIES_MOST = 1e6  # tries of one row that are believed: no umpire has as many in a second
 ANSWER_MOST = 65536  # bytes of a vote's answer
 
 KINDS = {"full": ListKind.FULL, "changes": ListKind.CHANGES}
 STATES = {state.value: state for state in BoxState}
 PHASES = {phase.value: phase for phase in Phase}
+CAUSES = {cause.value: cause for cause in Cause}
 VERDICTS = {verdict.value: verdict for verdict in Verdict}
 NUMBER = (int, float)
+Kind = TypeVar("Kind")
 Fields = dict[str, type | tuple[type, ...]]
 BOX: Fields = {
     "box": str,
@@ -47,6 +53,16 @@
 TOLD: Fields = {"from": int, "build": int, "stage": int, "verdict": str}
 
 
+class ToldStanding(msgspec.Struct):
+    """A judge's standing on its way; docs/protocols.md."""
+
+    blamed: list[tuple[int, str]]
+    clear: list[tuple[int, int]]
+    failing: list[tuple[int, list[str]]]
+    cause: str
+    about: tuple[int, str, str, str]
+
+
 class NotUnderstood(Exception):
     """A message that does not follow docs/protocols.md; the text names the field."""
 
@@ -65,6 +81,13 @@
     return message
 
 
+def typed(value: Any, kind: type[Kind]) -> Kind:
+    try:
+        return msgspec.convert(value, type=kind)
+    except msgspec.ValidationError as fault:
+        raise NotUnderstood(str(fault)) from None
+
+
 def chosen(table: dict[str, Any], message: dict[str, Any], name: str) -> Any:
     value = message.get(name)
     if value not in table:
@@ -340,13 +363,31 @@
             self.host.tasks.start_soon(self.send, peer, build, stage, verdict)
 
     async def send(self, peer: int, build: int, stage: int, verdict: Verdict) -> None:
-        message = {
-            "v": VERSION,
-            "from": self.host.terms.number,
-            "build": build,
-            "stage": stage,
-            "verdict": verdict.value,
+        await self.pass_on(peer, {"build": build, "stage": stage, "verdict": verdict.value})
+
+    def tell_rows(self, peer: int, rows: list[Row]) -> None:
+        """What was seen since the last telling, in as many messages as it needs."""
+        a_message = PEER_MOST // ROW_ABOUT
+        for start in range(0, len(rows), a_message):
+            self.host.tasks.start_soon(self.pass_on, peer, {"rows": rows[start : start + a_message]})
+
+    def tell_standing(self, peer: int, standing: Standing) -> None:
+        told = {
+            "blamed": [[build, why[:WHY_MOST]] for build, why in standing.blamed.items()],
+            "clear": list(standing.clear.items()),
+            "failing": list(standing.failing.items()),
+            "cause": standing.finding.cause.value,
+            "about": [
+                standing.finding.build,
+                standing.finding.how,
+                standing.finding.zone,
+                standing.finding.route,
+            ],
         }
+        self.host.tasks.start_soon(self.pass_on, peer, {"standing": told})
+
+    async def pass_on(self, peer: int, fields: dict[str, Any]) -> None:
+        message = {"v": VERSION, "from": self.host.terms.number, **fields}
         try:
             await self.datagrams.send(msgspec.json.encode(message), self.addresses[peer])
         except BROKEN as fault:
@@ -361,10 +402,31 @@
             try:
                 if len(data) > PEER_MOST:
                     raise NotUnderstood("too long")
-                told = check(decode(data), TOLD)
+                told = check(decode(data), {"from": int})
                 if self.addresses.get(told["from"]) != source:
                     raise NotUnderstood("not from that peer's address")
-                verdict = chosen(VERDICTS, told, "verdict")
-                self.host.umpire.heard(told["from"], told["build"], told["stage"], verdict)
+                self.understand(told)
             except NotUnderstood as fault:
                 self.host.write_log("peer not understood", source=source, why=str(fault))
+
+    def understand(self, told: dict[str, Any]) -> None:
+        inquest, now = self.host.umpire.inquest, self.host.now()
+        if "rows" in told and inquest is not None:
+            inquest.heard_rows(now, [row for row in typed(told["rows"], list[Row]) if self.sound(row)])
+        elif "standing" in told and inquest is not None:
+            said = typed(told["standing"], ToldStanding)
+            build, how, zone, route = said.about
+            found = Finding(chosen(CAUSES, {"cause": said.cause}, "cause"), build, how, zone, route)
+            standing = Standing(found, dict(said.blamed), dict(said.clear), dict(said.failing))
+            inquest.heard_standing(now, told["from"], standing)
+        else:
+            check(told, TOLD)
+            verdict = chosen(VERDICTS, told, "verdict")
+            self.host.umpire.heard(told["from"], told["build"], told["stage"], verdict)
+
+    def sound(self, row: Row) -> bool:
+        """Whether it is about a box and a route that we know, and adds up."""
+        box = self.host.umpire.boxes.get(row.box)
+        known = box is not None and box.build == row.build and row.route in self.host.umpire.grounds.routes
+        counts = 0 <= row.failed <= row.tries <= TRIES_MOST and 0 <= row.timed <= row.tries
+        return known and counts and row.squares * row.timed >= row.total**2 * 0.99 - 1
--- a/gullmount/umpire/host.py
+++ b/gullmount/umpire/host.py
@@ -9,6 +9,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from gullmount.blame import Finding
 from gullmount.interface import Outcome, Verdict
 from gullmount.net import Net
 from gullmount.policy import Umpire
@@ -53,6 +54,8 @@
         self.wants_list = False  # asked for before there was anyone to ask
         self.prefix = f"{terms.number}-{self.random.getrandbits(32):08x}"
         self.umpire = Umpire(self, terms.grounds(seed, restarted))
+        if self.umpire.inquest is not None:
+            self.umpire.inquest.on_finding = self.log_finding
 
     # What the module asks
 
@@ -93,6 +96,20 @@
     def log(self, text: str) -> None:
         self.write_log("judge", said=text)
 
+    def log_finding(self, found: Finding) -> None:
+        self.write_log(
+            "blame",
+            cause=found.cause.value,
+            build=found.build,
+            how=found.how,
+            zone=found.zone,
+            route=found.route,
+            sure=round(found.sure, 6),
+            figures=found.figures,
+            settles=found.settles,
+            seen=found.seen,
+        )
+
     # Reqs
 
     def route_of(self, head: Head) -> RouteTerms | None:
--- a/gullmount/umpire/running.py
+++ b/gullmount/umpire/running.py
@@ -95,6 +95,9 @@
                 stack.push_async_callback(datagrams.aclose)
                 peers = Peers(self.host, datagrams, dict(self.terms.peers.addresses))
                 self.host.on_tell = peers.tell
+                if self.host.umpire.inquest is not None:
+                    self.host.umpire.inquest.tell_rows = peers.tell_rows
+                    self.host.umpire.inquest.tell_standing = peers.tell_standing
                 self.tasks.start_soon(peers.hear)
             if self.host.wants_list:
                 self.roster.ask()
