Blame: what is not known is held, a share is lessened to see what follows, one box convicts none

Cause: with shares standing still a build that slows all looks as a dependency does, so stages were held for ever; a dependency's first two seconds fitted a share's move better than a step; what a withdrawn build had jammed was laid to the other; one warm box that bore its stage's load alone read as a slow build.

Change: a vote to move on is taken back when a doubt arises; where the dose cannot tell, the likeliest trial's share is lessened for 4.5 s (not where keys may not go back); a build must be the best told for 1.5 s; none is blamed for slowing all until 8 s after another's end; boxes of sound builds may differ by their load.

--- a/gullmount/blame/compare.py
+++ b/gullmount/blame/compare.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from math import comb, log2, sqrt
+from math import comb, sqrt
 from statistics import NormalDist
 
 from gullmount.blame.evidence import Cell, Place
@@ -17,6 +17,8 @@
 BOX_LEAST = 2  # times of a box that make it count
 BOXES_LEAST = 3  # boxes of what serves, to know how much boxes differ
 BOX_SPREAD = 0.15  # octaves by which sound boxes differ at least: machines are not alike
+BUILD_SPREAD = 0.2  # octaves by which the boxes of sound builds differ at least: they are not loaded alike
+ALONE_SPREAD = 0.25  # octaves more that one box may differ, so that a crowded machine convicts no build
 ZONE_LEAST = 8  # times of what serves in a zone that tell how far it is
 PAIR = 2  # slices taken together as the same seconds
 
@@ -50,6 +52,7 @@
     boxes: int
     base_boxes: int
     timed: int
+    deviation: float = 1.0  # octaves
 
     def words(self) -> str:
         return (
@@ -163,13 +166,7 @@
         if not own or not base:
             return Slowness(1.0, 1.0, len(own), len(base), timed)
         (mean, variance), (usual, base_variance) = self.pooled(own), self.pooled(base)
-        z = (mean - usual) / sqrt(variance + base_variance)
-        return Slowness(2 ** (mean - usual), 1 - NormalDist().cdf(z), len(own), len(base), timed)
-
-    def crowded(self) -> float:
-        """How much boxes that serve differ among each other, as a ratio of one deviation."""
-        return float(2 ** sqrt(self.between))
-
-
-def octaves(ratio: float) -> float:
-    return log2(ratio)
+        unlike = BUILD_SPREAD**2 + ALONE_SPREAD**2 / len(own)
+        deviation = sqrt(variance + base_variance + unlike)
+        p = 1 - NormalDist().cdf((mean - usual) / deviation)
+        return Slowness(2 ** (mean - usual), p, len(own), len(base), timed, deviation)
--- a/gullmount/blame/dose.py
+++ b/gullmount/blame/dose.py
@@ -18,7 +18,8 @@
 STRENGTHS = tuple(
     0.25 * 1.25**step for step in range(20)
 )  # slowdown for each whole share, tried in turn: to 17
-STEPS_LEAST = 3  # slices that a step must last to be one
+LATELY = 3  # newest slices over which the rise now is taken
+STEPS_LEAST = 2  # slices that a step lasts that is over
 BUILD_FREEDOM = 2.0  # a build's strength, and that there is one
 LOAD_FREEDOM = 2.0
 STEP_FREEDOM = 3.0  # height, begin and end; both are looked for, which is paid for by the number of places
@@ -77,7 +78,7 @@
             found.append((left + BUILD_FREEDOM * price, "build", build, risen, strength))
     load = np.log2(np.maximum(seconds.reqs, 1.0))
     left, _, factor = fit(y, weight, load)
-    risen = factor * float(load[-STEPS_LEAST:].mean() - np.median(load))
+    risen = factor * float(load[-LATELY:].mean() - np.median(load))
     found.append((left + LOAD_FREEDOM * price, "load", 0, risen, 0.0))
     left, risen = by_step(y, weight)
     found.append((left + STEP_FREEDOM * price, "shared", 0, risen, 0.0))
@@ -94,7 +95,7 @@
         level = float((weight * (y - shape)).sum() / weight.sum())
         left = float((weight * (y - level - shape) ** 2).sum())
         if left < best[0]:
-            best = left, strength, float(shape[-STEPS_LEAST:].mean())
+            best = left, strength, float(shape[-LATELY:].mean())
     return best
 
 
@@ -102,8 +103,8 @@
     """What is left and the rise now, where times rose at some second and may have fallen again."""
     count = len(y)
     best = (float("inf"), 0.0)
-    for begin in range(1, count - STEPS_LEAST + 1):
-        for end in [*range(begin + STEPS_LEAST, count - 1, 2), count]:
+    for begin in range(1, count):
+        for end in [count, *range(begin + STEPS_LEAST, count - 1, 2)]:
             shape = np.zeros(count)
             shape[begin:end] = 1.0
             left, _, factor = fit(y, weight, shape)
--- a/gullmount/blame/inquest.py
+++ b/gullmount/blame/inquest.py
@@ -7,8 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Sequence
-from math import exp, sqrt
-from statistics import NormalDist
+from math import exp, log2, sqrt
 
 import numpy as np
 
@@ -20,7 +19,6 @@
     Seen,
     Slowness,
     errors,
-    octaves,
 )
 from gullmount.blame.dose import Explained, Seconds, explain
 from gullmount.blame.evidence import KEPT, SLICE, Evidence, Place, Row
@@ -51,10 +49,17 @@
 SURE_MARGIN = 9.0  # Schwarz's difference from which on a build is blamed for slowing all: 1 in 90 a look
 LIKELY_MARGIN = 4.0  # from which on a cause that sends nothing back is named
 SECONDS_LEAST = 8  # slices to explain anything
-LATEST = 2  # newest slices left out: others' part of them has not come
+HOLD_MARGIN = 1.5  # above no cause at all from which on stages are held
+PERSISTS = 1.5  # s for which a build must be the best told by far: what has just begun has no shape yet
+LATEST = 1  # newest slices left out: others' part of them has not come
 DOSE_OVER = 2  # slices over which a share is taken: what it does to others takes that long to show
 STAGGER = 2.5  # s after one trial's move before the other's: moves at once could not be told apart
 RELEASED_FOR = 8.0  # s after a release in which a build can still be blamed: only then it bears all
+CLEARS = 8.0  # s after a build's end before another is blamed for slowing all: what it jammed must clear
+TRY_AFTER = 2.0  # s of not knowing which build slows all after which a share is lessened
+TRY_FOR = 4.5  # s of that: longer than a share's effect takes to go
+TRY_AGAIN = 12.0  # s from one to the next
+LESSENED = 0.3  # of the cap that is left to it then: enough less to show, and its boxes stay warm
 ZONE_RISEN = 0.7  # octaves that a zone's boxes rise above the others' for it to be the zone
 ZONE_NEW = 5.0  # s that are compared with those before for that
 TAKEN_OFF = (Phase.GOING_BACK, Phase.WITHDRAWN)
@@ -64,8 +69,12 @@
 class Inquest:
     """Lives as long as the instance. `tell_rows` and `tell_standing` send to a peer, `on_finding` logs."""
 
-    def __init__(self, number: int, umpires: int, may_tell: bool) -> None:
+    def __init__(self, number: int, umpires: int, may_tell: bool, one_way: bool) -> None:
         self.number = number
+        self.may_lessen = not one_way
+        self.slowing: tuple[int, float] = 0, -1e9  # the build that is best told by far, and since when
+        self.unknown_since: float | None = None
+        self.tried: tuple[int, float] = 0, -1e9  # the build whose share was lessened last, and from when
         self.may_tell = may_tell and umpires > 1
         self.judges = min(JUDGES, umpires) if self.may_tell else umpires
         self.peers = [peer for peer in range(umpires) if peer != number] if self.may_tell else []
@@ -82,7 +91,9 @@
     @classmethod
     def of(cls, grounds: Grounds) -> Inquest | None:
         """Where two trials may stand there is one."""
-        return cls(grounds.number, grounds.umpires, grounds.may_tell) if grounds.release.at_once > 1 else None
+        if grounds.release.at_once <= 1:
+            return None
+        return cls(grounds.number, grounds.umpires, grounds.may_tell, grounds.release.one_way)
 
     # What comes in
 
@@ -133,6 +144,7 @@
         """Any judge's blame sends back; a trial moves on only where none of them has a doubt."""
         said: list[Blamed] = []
         for trial in trials:
+            trial.part = LESSENED if any(one.lessened == trial.build for one in standings) else 1.0
             if trial.phase in TAKEN_OFF:
                 continue
             why = [one.blamed[trial.build] for one in standings if trial.build in one.blamed]
@@ -188,10 +200,29 @@
                     standing.clear[trial.build] = trial.stage
                     break
         standing.finding = max(findings, key=lambda one: one.sure) if findings else general
+        standing.lessened = self.lessen(now, general, standing)
         self.standing = standing
         if standing.finding.key != before.key and self.on_finding is not None:
             self.on_finding(standing.finding)
 
+    def lessen(self, now: float, general: Finding, standing: Standing) -> int:
+        """The build whose share is to be lessened now; 0 for none.
+
+        Guards against never knowing: while shares stand still a build that slows all looks as a dependency
+        does. Harm: keys of that part meet the earlier build for some seconds.
+        """
+        build, since = self.tried
+        if build and now - since < TRY_FOR:
+            return 0 if build in standing.blamed else build
+        if general.cause is not Cause.UNKNOWN or not general.build:
+            self.unknown_since = None
+            return 0
+        self.unknown_since = now if self.unknown_since is None else self.unknown_since
+        if self.may_lessen and now - self.unknown_since >= TRY_AFTER and now - since >= TRY_AGAIN:
+            self.tried = general.build, now
+            return general.build
+        return 0
+
     def may_be_blamed(self, trial: Trial, now: float) -> bool:
         _, phase, at = self.moved[trial.build]
         return phase is Phase.ON_TRIAL or (
@@ -244,7 +275,7 @@
                 Finding(Cause.BUILD, build, "slow", zone, "", 1 - worst.p, worst.words(), seen=worst.timed)
             )
         doubt = any(one.failed and one.p < DOUBT for one in tests)
-        doubt = doubt or any(doubtful(one) for one in slow.values()) or not quick(slow[""], boxes)
+        doubt = doubt or any(doubtful(one) for one in slow.values()) or not quick(slow[""])
         return found, doubt
 
     def clean(self, seen: Seen, trial: Trial, now: float, boxes: list[Box]) -> bool:
@@ -265,20 +296,29 @@
             return Finding(Cause.NOTHING, seen=tries)
         explained = explain(seconds)
         what, build, _ = explained.best
-        if explained.risen < RISEN or what == "nothing":
+        calm = next(worse for name, _, worse in explained.order if name == "nothing")
+        if explained.risen < RISEN or calm < HOLD_MARGIN:
+            self.slowing = 0, now
             return self.places(now, open_builds, tries)
         figures = words(explained, seconds)
         sure = 1 - exp(-explained.margin / 2)
+        ends = [at for _, phase, at in self.moved.values() if phase in TAKEN_OFF]
+        cleared = all(now - at >= CLEARS for at in ends)
         suspects = {
-            trial.build for trial in trials if trial.phase in TAKEN_OFF or self.may_be_blamed(trial, now)
+            trial.build
+            for trial in trials
+            if trial.phase in TAKEN_OFF or (cleared and self.may_be_blamed(trial, now))
         }
-        if what == "build" and build in suspects:
-            if explained.margin >= SURE_MARGIN:
-                return Finding(Cause.BUILD, build, "slows all", "", "", sure, figures, seen=tries)
-            return Finding(Cause.UNKNOWN, 0, "", "", "", sure, figures, "the next move of a share", tries)
+        far = what == "build" and build in suspects and explained.margin >= SURE_MARGIN
+        if not far or self.slowing[0] != build:
+            self.slowing = build if far else 0, now
+        if far and now - self.slowing[1] >= PERSISTS:
+            return Finding(Cause.BUILD, build, "slows all", "", "", sure, figures, seen=tries)
         if what != "build" and explained.margin >= LIKELY_MARGIN:
             return Finding(Cause(what), 0, "", "", "", sure, figures, seen=tries)
-        return Finding(Cause.UNKNOWN, 0, "", "", "", sure, figures, "the next move of a share", tries)
+        standing = [one.build for one in trials if one.phase is Phase.ON_TRIAL and cleared]
+        likely = next((rev for name, rev, _ in explained.order if name == "build" and rev in standing), 0)
+        return Finding(Cause.UNKNOWN, likely, "", "", "", sure, figures, "the next move of a share", tries)
 
     def seconds(self, now: float, open_builds: set[int]) -> tuple[Seconds, int]:
         """The mean time of what serves in each slice, route by route, and each trial's share of the tries."""
@@ -360,14 +400,11 @@
     return one.p < DOUBT and one.ratio > sqrt(SLOW_RATIO)
 
 
-def quick(one: Slowness, boxes: Boxes) -> bool:
+def quick(one: Slowness) -> bool:
     """Whether enough was seen to say that the build is not far slower."""
-    if not one.timed or not one.base_boxes:
-        return one.base_boxes == 0
-    deviation = (octaves(one.ratio) / NormalDist().inv_cdf(1 - one.p)) if 0 < one.p < 0.5 else None  # noqa: PLR2004
-    if deviation is None:
-        deviation = sqrt(boxes.between / max(1, one.boxes) + boxes.within / one.timed)
-    return octaves(one.ratio) + SURE_SIDE * deviation < SLOW_SEEN
+    if not one.base_boxes:
+        return True  # there is nothing left to compare with
+    return one.timed > 0 and log2(one.ratio) + SURE_SIDE * one.deviation < SLOW_SEEN
 
 
 def words(explained: Explained, seconds: Seconds) -> str:
--- a/gullmount/checker/verdicts.py
+++ b/gullmount/checker/verdicts.py
@@ -16,6 +16,7 @@
 FELL_SLOWER = 1.4  # times the calm's time, likewise
 STRETCH = 4.0  # s of a stretch that the baselines look at
 CALM_UNTIL = 2.0  # s before the first wave that the calm is taken from, at most all of it
+LATE_FROM, LATE_LESS = 11.0, 6.0  # s of age at which such a box turns bad, and how much sooner by its size
 LEAST = 6  # answers that a stretch needs
 SOON = 10.0  # s from a bad build's first reqs in which it should be back
 
@@ -67,6 +68,7 @@
     """From the record: who was blamed when, and who would have been by the newest or by the worst figures."""
     releases = about["day"]["releases"]
     found = Verdicts(bad=[number + 2 for number, one in enumerate(releases) if one["bad"]])
+    ages: dict[int, float] = {}  # by build that turns bad with age: when its first box does
     for event in events:
         ev, t = event["ev"], event["t"]
         if ev == "log" and event["event"] == "blame":
@@ -88,7 +90,11 @@
         elif ev == "sent_back":
             found.sent_back.setdefault(event["build"], t)
         elif ev == "box_got" and event["build"] in found.bad:
-            found.onset.setdefault(event["build"], t)
+            told = releases[event["build"] - 2]
+            if told["zone"] in ("", event["zone"]) and t >= ages.get(event["build"], 0.0):
+                found.onset.setdefault(event["build"], t)
+        elif ev == "box_up" and event["build"] in found.bad and releases[event["build"] - 2]["bad"] == "late":
+            ages.setdefault(event["build"], t + LATE_FROM - LATE_LESS * releases[event["build"] - 2]["size"])
     found.baselines = baselines(about, events)
     return found
 
--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -488,7 +488,8 @@
             others = [one for one in under_way if one is not trial]
             if trial.end is None:
                 trial.end = min({0, 1} - {one.end for one in others}, default=None)
-            cap = trial.cap if any(box.build == trial.build for box in boxes) else self.release.caps[0]
+            listed = any(box.build == trial.build for box in boxes)
+            cap = trial.part * (trial.cap if listed else self.release.caps[0])
             aim = CAP_USE * cap
             even = carry / max(1, sum(carries) + len(self.ready(None)))
             aim = min(max(even, aim) if cap >= 1 else aim, CROWD * even)
@@ -503,8 +504,7 @@
         newest = self.trials[-1]
         on_trial = (one for one in self.trials if self.side(one.build) and one.holds(req.place))
         wanted = next(on_trial, newest if newest.holds(req.place) else None)
-        back = req.tries and self.side(req.tries[-1].build)
-        if wanted and (back or req.route.name in wanted.failing):
+        if wanted and ((req.tries and self.side(req.tries[-1].build)) or req.route.name in wanted.failing):
             wanted = None
         met = self.trial(self.met_by(req)) if req.key is not None else None
         if met is not None and (met is newest or self.side(met.build)):
--- a/gullmount/state.py
+++ b/gullmount/state.py
@@ -42,6 +42,7 @@
     def __init__(self, build: int, stage: int, phase: Phase, cap: float) -> None:
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
         self.share = 0.0
+        self.part = 1.0  # of the cap, to which its share is lessened for a while
         self.end: int | None = None  # of the hash: 0 grows up from below, 1 down from above
         self.widest = 0.0  # the largest share that it has had
         self.crowded = False  # whether more keys met it than are remembered one by one
--- a/gullmount/umpire/control.py
+++ b/gullmount/umpire/control.py
@@ -59,6 +59,7 @@
     blamed: list[tuple[int, str]]
     clear: list[tuple[int, int]]
     failing: list[tuple[int, list[str]]]
+    lessened: int
     cause: str
     about: tuple[int, str, str, str]
 
@@ -376,6 +377,7 @@
             "blamed": [[build, why[:WHY_MOST]] for build, why in standing.blamed.items()],
             "clear": list(standing.clear.items()),
             "failing": list(standing.failing.items()),
+            "lessened": standing.lessened,
             "cause": standing.finding.cause.value,
             "about": [
                 standing.finding.build,
@@ -417,7 +419,7 @@
             said = typed(told["standing"], ToldStanding)
             build, how, zone, route = said.about
             found = Finding(chosen(CAUSES, {"cause": said.cause}, "cause"), build, how, zone, route)
-            standing = Standing(found, dict(said.blamed), dict(said.clear), dict(said.failing))
+            standing = Standing(found, dict(said.blamed), dict(said.clear), dict(said.failing), said.lessened)
             inquest.heard_standing(now, told["from"], standing)
         else:
             check(told, TOLD)
