Tests of blame and of two trials; two sights; one judge lessens at a time

Cause: two judges lessened both shares at once, which told them nothing; a build that turned slow in the middle of a stage was thinned out by 20 s of good times.

Change: a judge follows the one before it in what it lessens; builds are compared over 20 s and over 8 s.

--- a/gullmount/blame/inquest.py
+++ b/gullmount/blame/inquest.py
@@ -31,6 +31,7 @@
 LOOK_EVERY = 0.5  # s between looks at the evidence
 STANDS_FOR = 2.5  # s that a judge's standing holds: some may get lost
 SIGHT = 20.0  # s over which builds are compared: long enough for a first stage's few tries
+LATELY = 8.0  # s likewise: short enough for what has begun in the middle of a stage
 FALSE_ALARM = 0.01  # chance that good builds are blamed in a wave, over all looks and tests
 LOOKS = 4.0  # independent looks at the evidence while it changes in a wave
 DOUBT = 0.03  # chance below which a build is not moved on, though not blamed
@@ -58,7 +59,7 @@
 CLEARS = 8.0  # s after a build's end before another is blamed for slowing all: what it jammed must clear
 TRY_AFTER = 2.0  # s of not knowing which build slows all after which a share is lessened
 TRY_FOR = 4.5  # s of that: longer than a share's effect takes to go
-TRY_AGAIN = 12.0  # s from one to the next
+TRY_AGAIN = 8.0  # s from one to the next
 LESSENED = 0.3  # of the cap that is left to it then: enough less to show, and its boxes stay warm
 ZONE_RISEN = 0.7  # octaves that a zone's boxes rise above the others' for it to be the zone
 ZONE_NEW = 5.0  # s that are compared with those before for that
@@ -179,9 +180,11 @@
         doubted: set[int] = set()
         for trial in trials:
             if self.may_be_blamed(trial, now):
-                against, doubt = self.compare(seen, trial.build, open_builds)
-                findings += against
-                doubted |= {trial.build} if doubt else set()
+                since = int((now - LATELY) / SLICE)
+                for part in (seen, [one for one in seen if one[0] >= since]):
+                    against, doubt = self.compare(part, trial.build, open_builds)
+                    findings += against
+                    doubted |= {trial.build} if doubt and part is seen else set()
         for found in findings:
             standing.blamed.setdefault(found.build, found.words())
             if found.route:
@@ -211,6 +214,11 @@
         Guards against never knowing: while shares stand still a build that slows all looks as a dependency
         does. Harm: keys of that part meet the earlier build for some seconds.
         """
+        first = [told.lessened for told, at in self.before(now)]
+        if first:
+            # One judge tries at a time: two shares lessened at once could not be told apart.
+            self.tried = (first[0], now) if first[0] else self.tried
+            return first[0]
         build, since = self.tried
         if build and now - since < TRY_FOR:
             return 0 if build in standing.blamed else build
@@ -223,6 +231,14 @@
             return general.build
         return 0
 
+    def before(self, now: float) -> list[tuple[Standing, float]]:
+        """What is heard of the judges that come before this one."""
+        return [
+            (told, at)
+            for judge, (told, at) in sorted(self.heard.items())
+            if judge < self.number and now - at < STANDS_FOR
+        ]
+
     def may_be_blamed(self, trial: Trial, now: float) -> bool:
         _, phase, at = self.moved[trial.build]
         return phase is Phase.ON_TRIAL or (
@@ -243,7 +259,7 @@
         base = self.serves(seen, build, open_builds)
         zones = sorted({place.zone for _, place, _ in seen if place.build == build})
         routes = sorted({place.route for _, place, _ in seen if place.build == build})
-        alarm = FALSE_ALARM / (LOOKS * self.judges * 2 * (1 + len(zones) + len(routes)))
+        alarm = FALSE_ALARM / (LOOKS * self.judges * 4 * (1 + len(zones) + len(routes)))
         whole = errors(seen, build, base)
         by_zone = {zone: errors([one for one in seen if one[1].zone == zone], build, base) for zone in zones}
         by_route = {
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -36,7 +36,7 @@
         terms: dict[str, Any] = {
             "caps": (0.2, 0.5, 1.0), "by_route": False, "closed_stages": 0, "one_way": False, "window": 3.0,
             "spare_tries": 2.0, "timed": False, "vote_life": 4.0, "to_advance": 1, "back_votes": 1,
-            "votes_per_s": 100.0, "tally_period": 2.0,
+            "votes_per_s": 100.0, "tally_period": 2.0, "at_once": 1,
         }
         grounds: dict[str, Any] = {
             "seed": 7, "zone": "a", "umpires": 2, "number": 0, "may_tell": False, "link_idle": 15.0,
--- /dev/null
+++ b/tests/test_blame_days.py
@@ -0,0 +1,69 @@
+"""The hard cases of two releases at once, one seed each in virtual time: who is blamed, who goes back."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from gullmount.blame import Inquest
+from gullmount.checker import check
+from gullmount.checker.verdicts import Verdicts, verdicts
+from gullmount.days.run import run
+from gullmount.days.terms import DayTerms
+from gullmount.yamlfile import read
+
+DAYS = Path(__file__).parent.parent / "days" / "blame"
+CASES = (
+    "shared-dependency",
+    "one-zone",
+    "older-bad",
+    "newer-slow",
+    "both-bad",
+    "both-good-burst",
+    "bad-with-age",
+    "slows-all",
+    "many-umpires",
+    "late-news",
+)
+
+
+def played(case: str, seed: int = 2, **changes: Any) -> tuple[Verdicts, list[str]]:
+    terms = read(DAYS / f"{case}.yaml", DayTerms).model_copy(update=changes)
+    about, lines = run(terms, seed, True, "127.98")
+    events = [msgspec.json.decode(line) for line in lines.splitlines()]
+    broken = [
+        f"{breach.t} {breach.umpire}: {breach.what} {breach.reqs}"
+        for finding in check(about, events)
+        for breach in finding.breaches
+    ]
+    return verdicts(about, events), broken
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_blame_is_right_and_only_the_bad_go_back(case: str) -> None:
+    said, broken = played(case)
+    assert broken == []
+    assert said.outcome == "right"
+    assert sorted(said.sent_back) == said.bad
+
+
+def test_without_waiting_for_what_a_share_does_a_dependency_is_laid_to_a_build(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("gullmount.blame.inquest.SURE_MARGIN", 0.0)
+    monkeypatch.setattr("gullmount.blame.inquest.PERSISTS", 0.0)
+    monkeypatch.setattr("gullmount.blame.dose.STEP_FREEDOM", 50.0)
+    said, _ = played("shared-dependency")
+    assert said.outcome == "wrong"
+
+
+def test_without_the_umpires_telling_each_other_a_bad_build_stands_longer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    together, _ = played("older-bad")
+    monkeypatch.setattr(Inquest, "heard_rows", lambda self, now, rows: None)
+    apart, _ = played("older-bad")
+    assert together.sent_back[2] + 3.0 < apart.sent_back.get(2, 99.0)
