--- a/gullmount/cli.py
+++ b/gullmount/cli.py
@@ -16,7 +16,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from gullmount import __version__
+from gullmount import __version__, reports
 from gullmount.checker import Finding, Summary, check, summarize
 from gullmount.days import from_bench
 from gullmount.days import run as days
@@ -41,6 +41,14 @@
         sys.exit(BAD_INPUT)
 
 
+def recorded(folder: Path) -> tuple[dict[str, Any], list[dict[str, Any]]]:
+    try:
+        return record.read(folder)
+    except (OSError, ValueError) as fault:
+        click.echo(f"{folder}: {fault}", err=True)
+        sys.exit(BAD_INPUT)
+
+
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(__version__, prog_name="gullmount")
 def main() -> None:
@@ -101,6 +109,48 @@
                 return
 
 
+@main.command()
+@click.argument("folder", type=Path_)
+@click.option("--json", "as_json", is_flag=True, help="Each change of mind as JSON on standard output.")
+@click.option(
+    "--plot", "picture", type=Path_, default=None, help="Draw the course into this file (PNG, SVG, PDF)."
+)
+def blame(folder: Path, as_json: bool, picture: Path | None) -> None:
+    """Say which build was blamed for what on the recorded day in FOLDER, when, and by which figures.
+
+    \b
+    gullmount day run days/blame/older-bad.yaml --virtual --record /tmp/older-bad
+    gullmount blame /tmp/older-bad --plot older-bad.png
+    """
+    about, events = recorded(folder)
+    try:
+        made = reports.course(about, events)
+    except (KeyError, TypeError, AttributeError) as fault:
+        click.echo(f"{folder}: not the record of a day: {fault!r}", err=True)
+        sys.exit(BAD_INPUT)
+    if picture is not None:
+        try:
+            reports.plot(made, f"{about['day']['name']}, seed {about['seed']}", picture)
+        except (OSError, ValueError) as fault:
+            click.echo(f"{picture}: {fault}", err=True)
+            sys.exit(BAD_INPUT)
+    said = made.verdicts
+    if as_json:
+        click.echo(json.dumps({"outcome": said.outcome, **asdict(said)}, indent=1))
+        return
+    console = Console()
+    table = Table("s", "umpire", "verdict", "where", "sure", "figures")
+    for one in said.said:
+        whom = f"build {one.build} {one.how}" if one.cause == "build" else f"no build: {one.cause}"
+        figures = one.figures + (f"; settled by {one.settles}" if one.settles else "")
+        where = " ".join(part for part in (one.zone, one.route) if part)
+        table.add_row(f"{one.t:.1f}", str(one.umpire), whom, where, f"{one.sure:.3f}", figures)
+    console.print(table)
+    for build, t in sorted(said.sent_back.items()):
+        console.print(f"build {build} was sent back at {t:.1f} s")
+    console.print(f"bad by the day's terms: {said.bad or 'none'}; blame {said.outcome}")
+
+
 @main.group()
 def day() -> None:
     """Play scripted days and check their records."""
@@ -143,11 +193,7 @@
 @click.option("--json", "as_json", is_flag=True, help="The result as JSON on standard output.")
 def day_check(folder: Path, as_json: bool) -> None:
     """Hold the recorded day in FOLDER against the rules again."""
-    try:
-        about, events = record.read(folder)
-    except (OSError, ValueError) as fault:
-        click.echo(f"{folder}: {fault}", err=True)
-        sys.exit(BAD_INPUT)
+    about, events = recorded(folder)
     try:
         tell(about, events, as_json)
     except (KeyError, TypeError, AttributeError) as fault:
