--- a/gullmount/checker/rules.py
+++ b/gullmount/checker/rules.py
@@ -60,7 +60,9 @@
         )  # by box and req: when it said so
         self.began: dict[str, list[Event]] = defaultdict(list)  # by req
         self.ups: dict[str, list[float]] = defaultdict(list)  # by umpire
-        self.ends: dict[str, list[float]] = defaultdict(list)  # by umpire: kills
+        self.ends: dict[str, list[list[float]]] = defaultdict(
+            list
+        )  # by umpire: from the kill until all is torn
         self.stops: dict[str, list[float]] = defaultdict(list)
         for event in events:
             self.sort_out(event)
@@ -82,13 +84,14 @@
         elif ev == "umpire_up":
             self.ups[name(event)].append(event["t"])
         elif ev == "umpire_killed":
-            self.ends[name(event)].append(event["t"])
+            self.ends[name(event)].append([event["t"], event["t"]])
+        elif ev == "umpire_dead":
+            self.ends[name(event)][-1][1] = event["t"]
         elif ev == "umpire_stopping":
             self.stops[name(event)].append(event["t"])
 
     def died_within(self, umpire: str, since: float, until: float) -> bool:
-        ends = self.ends[umpire]
-        return bisect_right(ends, until) > bisect_left(ends, since)
+        return any(begun <= until and torn >= since for begun, torn in self.ends[umpire])
 
     def stopping_at(self, umpire: str, t: float) -> bool:
         """Whether it had been told to stop and was not yet up again."""
--- a/gullmount/days/run.py
+++ b/gullmount/days/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -25,6 +26,7 @@
 
 LEAD = 1.0  # s in which umpires start before the first client comes
 TAIL = 8.0  # s after the last arrival until all is answered
+SWEEPS = (50_000, 20, 1_000_000)  # objects and rounds between sweeps; the last is out of a day's reach
 PORTS = {"umpire": 8000, "roster": 7001, "launcher": 7002, "peer": 7100}
 
 Start = Callable[..., RunningUmpire]
@@ -90,6 +92,7 @@
         if self.party is not None:
             await self.party.kill()
         await self.day.clients[self.number].close()
+        self.day.record.note("umpire_dead", umpire=self.number)
 
     async def roll(self, pause: float) -> None:
         """A stop in peace, and a new start."""
@@ -402,7 +405,16 @@
 ) -> tuple[dict[str, Any], bytes]:
     """The same from plain code. Virtual days give the same record, byte for byte, for the same seed."""
     if not virtual:
-        return anyio.run(play, terms, seed, virtual, block, start, backend="asyncio")
+        # The record holds many thousands of objects: each sweep over all would stall every umpire at once.
+        usual = gc.get_threshold()
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*SWEEPS)
+        try:
+            return anyio.run(play, terms, seed, virtual, block, start, backend="asyncio")
+        finally:
+            gc.set_threshold(*usual)
+            gc.unfreeze()
     # Trio shuffles each batch of tasks by chance of its own: started from the seed, a day can be played
     # again.
     core: Any = trio._core._run
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,142 @@
+"""What peers tell: sound rows and standings are taken, all else is dropped with one line in the log."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+import msgspec
+import pytest
+
+from gullmount.blame import Cause, Finding, Row, Standing
+from gullmount.interface import BoxState, Listed, ListKind
+from gullmount.net import MemoryNet
+from gullmount.umpire.control import PEER_MOST, Peers
+from gullmount.umpire.host import SocketHost
+from tests.edge import terms
+
+PEERS = {0: "p0:1", 1: "p1:1", 2: "p2:1"}
+ROW: list[Any] = [0, "b1", 2, "a", "pay", 4, 1, 3, -6.0, 13.0]
+
+
+class Wire:
+    """Datagrams to hear, and those sent."""
+
+    def __init__(self, heard: list[tuple[bytes, str]]) -> None:
+        self.heard = heard
+        self.sent: list[tuple[bytes, str]] = []
+
+    async def receive(self) -> tuple[bytes, str]:
+        if not self.heard:
+            raise anyio.ClosedResourceError
+        return self.heard.pop(0)
+
+    async def send(self, data: bytes, address: str) -> None:
+        self.sent.append((data, address))
+
+    async def aclose(self) -> None:
+        pass
+
+
+def played(
+    *heard: tuple[bytes, str], tell: list[Row] | Standing | None = None
+) -> tuple[SocketHost, Wire, list[str]]:
+    log: list[str] = []
+    wire = Wire(list(heard))
+    told = terms(number=0, of=3)
+    told = told.model_copy(update={"releases": told.releases.model_copy(update={"at_once": 2})})
+
+    async def scene() -> SocketHost:
+        async with anyio.create_task_group() as tasks:
+            host = SocketHost(told, MemoryNet(), tasks, 1, False, lambda event, **fields: log.append(event))
+            host.umpire.listed(ListKind.FULL, [Listed("b1", "a", 0, 2, BoxState.READY, 1.0, 0.0)])
+            peers = Peers(host, wire, PEERS)
+            if isinstance(tell, list):
+                peers.tell_rows(1, tell)
+            elif tell is not None:
+                peers.tell_standing(1, tell)
+            await peers.hear()
+            await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+        return host
+
+    return anyio.run(scene), wire, log
+
+
+def message(**fields: Any) -> bytes:
+    return msgspec.json.encode({"v": 1, "from": 2, **fields})
+
+
+def tries(host: SocketHost) -> int:
+    assert host.umpire.inquest is not None
+    return sum(cell.tries for cells in host.umpire.inquest.seen.slices.values() for cell in cells.values())
+
+
+def test_sound_rows_add_to_the_evidence() -> None:
+    host, _, log = played((message(rows=[ROW, ROW]), "p2:1"))
+    assert tries(host) == 8 and log == []
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        [0, "unknown", *ROW[2:]],
+        [0, "b1", 3, *ROW[3:]],
+        [0, "b1", 2, "a", "no route", *ROW[5:]],
+        [*ROW[:5], 4, 5, 3, -6.0, 13.0],
+        [*ROW[:5], 4, -1, 3, -6.0, 13.0],
+        [*ROW[:5], 10**9, 0, 0, 0.0, 0.0],
+        [*ROW[:8], -600.0, 13.0],
+        [10**9, *ROW[1:]],
+    ],
+)
+def test_rows_that_do_not_add_up_are_left_out(row: list[Any]) -> None:
+    host, _, _ = played((message(rows=[row]), "p2:1"))
+    assert tries(host) == 0
+
+
+@pytest.mark.parametrize(
+    ("data", "source"),
+    [
+        (message(rows=[ROW]), "p1:1"),
+        (message(rows=[ROW[:-1]]), "p2:1"),
+        (message(rows="x"), "p2:1"),
+        (message(rows=[[None] * 10]), "p2:1"),
+        (message(standing={}), "p2:1"),
+        (message(standing=[1]), "p2:1"),
+        (message(), "p2:1"),
+        (message(rows=[ROW], pad="x" * PEER_MOST), "p2:1"),
+        (b"\xff{", "p2:1"),
+    ],
+)
+def test_what_is_not_understood_is_dropped_with_one_line(data: bytes, source: str) -> None:
+    host, _, log = played((data, source))
+    assert tries(host) == 0 and log == ["peer not understood"]
+
+
+def test_rows_told_fit_a_message_and_are_understood() -> None:
+    rows = [
+        Row(1, f"127.255.255.{n}:65535", 12, "quezon-city", "submit-exam", 9, 1, 8, -20.123, 99.999)
+        for n in range(100)
+    ]
+    _, wire, _ = played(tell=rows)
+    assert all(len(data) <= PEER_MOST for data, _ in wire.sent)
+    told = [
+        row for data, _ in wire.sent for row in msgspec.convert(msgspec.json.decode(data)["rows"], list[Row])
+    ]
+    assert told == rows
+
+
+def test_standing_comes_back_as_it_was_told() -> None:
+    standing = Standing(
+        Finding(Cause.BUILD, 2, "fails", "a", "pay"), {2: "why " * 100}, {3: 1}, {2: ["pay"]}, 3
+    )
+    _, wire, _ = played(tell=standing)
+    ((data, _),) = wire.sent
+    assert len(data) <= PEER_MOST
+    host, _, log = played((data.replace(b'"from":0', b'"from":1'), "p1:1"))
+    assert log == []
+    assert host.umpire.inquest is not None
+    heard, _ = host.umpire.inquest.heard[1]
+    assert (heard.clear, heard.failing, heard.lessened) == ({3: 1}, {2: ["pay"]}, 3)
+    assert heard.finding.key == standing.finding.key and heard.blamed[2].startswith("why why")
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -187,6 +187,7 @@
         ("umpire", str(bad)),
         ("day", "run", str(bad)),
         ("day", "check", str(bad)),
+        ("blame", str(bad)),
     ):
         result = run(*args)
         assert result.returncode == 2, args
@@ -200,6 +201,11 @@
     again = run("day", "check", str(tmp_path), "--json")
     assert first.returncode == again.returncode == 0
     assert json.loads(first.stdout) == json.loads(again.stdout)
+    picture = tmp_path / "course.png"
+    told = run("blame", str(tmp_path), "--json", "--plot", str(picture))
+    assert told.returncode == 0 and json.loads(told.stdout)["bad"] == []
+    assert picture.read_bytes().startswith(b"\x89PNG")
+    assert run("blame", str(tmp_path), "--plot", str(tmp_path / "course.nonsense")).returncode == 2
     lines = (tmp_path / "record.jsonl").read_text().splitlines()
     twice = next(line for line in lines if '"ev":"got"' in line)
     (tmp_path / "record.jsonl").write_text("\n".join([*lines, twice]))
