--- a/gullmount/checker/rules.py
+++ b/gullmount/checker/rules.py
@@ -106,7 +106,8 @@
 
 def handed(event: Event) -> float:
     """When the umpire gave the try to its link, which may be slow or cut."""
-    return float(event.get("handed", event["t"]))
+    at = event.get("handed")
+    return float(event["t"] if at is None else at)
 
 
 def check(about: Event, events: list[Event]) -> list[Finding]:
