--- a/gullmount/blame/compare.py
+++ b/gullmount/blame/compare.py
@@ -66,6 +66,16 @@
     return min(1.0, sum(comb(of, k) * share**k * (1 - share) ** (of - k) for k in range(count, of + 1)))
 
 
+def collapsed(seen: Seen) -> Seen:
+    """The same without the seconds."""
+    whole: dict[Place, Cell] = {}
+    for _, place, cell in seen:
+        if place not in whole:
+            whole[place] = Cell()
+        whole[place].add(cell.tries, cell.failed, cell.timed, cell.total, cell.squares)
+    return [(0, place, cell) for place, cell in whole.items()]
+
+
 def errors(seen: Seen, build: int, base: Callable[[int], bool]) -> Errors:
     """The build's errors without those of its worst boxes, against all of what serves."""
     by_box: dict[str, list[int]] = defaultdict(lambda: [0, 0])
--- a/gullmount/blame/dose.py
+++ b/gullmount/blame/dose.py
@@ -100,14 +100,22 @@
 
 
 def by_step(y: Numbers, weight: Numbers) -> tuple[float, float]:
-    """What is left and the rise now, where times rose at some second and may have fallen again."""
+    """What is left and the rise now, where times rose at some second and may have fallen again.
+
+    All steps at once, by running sums: least squares on a step take away covariance squared over spread.
+    """
     count = len(y)
-    best = (float("inf"), 0.0)
-    for begin in range(1, count):
-        for end in [count, *range(begin + STEPS_LEAST, count - 1, 2)]:
-            shape = np.zeros(count)
-            shape[begin:end] = 1.0
-            left, _, factor = fit(y, weight, shape)
-            if left < best[0]:
-                best = left, factor if end == count else 0.0
-    return best
+    centred = y - (weight * y).sum() / weight.sum()
+    whole = weight.sum()
+    weights = np.concatenate(([0.0], np.cumsum(weight)))
+    sums = np.concatenate(([0.0], np.cumsum(weight * centred)))
+    begin, end = np.triu_indices(count + 1, 1)
+    lasting = (begin > 0) & ((end == count) | ((end - begin >= STEPS_LEAST) & (end < count - 1)))
+    begin, end = begin[lasting], end[lasting]
+    inside = weights[end] - weights[begin]
+    covariance = np.maximum(0.0, sums[end] - sums[begin])
+    spread = np.maximum(inside * (1 - inside / whole), 1e-12)
+    gain = covariance**2 / spread
+    best = int(np.argmax(gain))
+    left = float((weight * centred**2).sum() - gain[best])
+    return left, float(covariance[best] / spread[best]) if end[best] == count else 0.0
--- a/gullmount/blame/inquest.py
+++ b/gullmount/blame/inquest.py
@@ -18,6 +18,7 @@
     Errors,
     Seen,
     Slowness,
+    collapsed,
     errors,
 )
 from gullmount.blame.dose import Explained, Seconds, explain
@@ -180,13 +181,19 @@
         open_builds = {trial.build for trial in trials if trial.phase is not Phase.RELEASED}
         findings: list[Finding] = []
         doubted: set[int] = set()
-        for trial in trials:
-            if self.may_be_blamed(trial, now):
-                since = int((now - LATELY) / SLICE)
-                for part in (seen, [one for one in seen if one[0] >= since]):
-                    against, doubt = self.compare(part, trial.build, open_builds)
-                    findings += against
-                    doubted |= {trial.build} if doubt and part is seen else set()
+        suspects = [trial.build for trial in trials if self.may_be_blamed(trial, now)]
+        since = int((now - LATELY) / SLICE)
+        for part in (seen, [one for one in seen if one[0] >= since]):
+            sums = collapsed(part)
+            boxes_of: dict[int, Boxes] = {}  # by the build left out, 0 where all on trial are
+            for build in suspects:
+                base, apart = self.serves(sums, build, open_builds)
+                if apart not in boxes_of:
+                    boxes_of[apart] = Boxes(part, base)
+                against, doubt = self.compare(sums, boxes_of[apart], build, base)
+                findings += against
+                doubted |= {build} if doubt and part is seen else set()
+        sums = collapsed(seen)
         for found in findings:
             standing.blamed.setdefault(found.build, found.words())
             if found.route:
@@ -201,7 +208,7 @@
                 others = [at for build, (_, _, at) in self.moved.items() if build != trial.build]
                 alone = all(now - at >= STAGGER for at in others)
                 fit = trial.build not in standing.blamed and trial.build not in doubted
-                if trial.phase is Phase.ON_TRIAL and fit and alone and self.clean(seen, trial, now, boxes):
+                if trial.phase is Phase.ON_TRIAL and fit and alone and self.clean(sums, trial, now, boxes):
                     standing.clear[trial.build] = trial.stage
                     break
         standing.finding = max(findings, key=lambda one: one.sure) if findings else general
@@ -250,25 +257,30 @@
             phase is Phase.RELEASED and trial.released_at > 0 and now - at < RELEASED_FOR
         )
 
-    def serves(self, seen: Seen, build: int, open_builds: set[int]) -> Callable[[int], bool]:
-        """Whether a build is one to compare with: it serves, or too little does and it is the other trial."""
-        tries = sum(
-            cell.tries for _, place, cell in seen if place.build != build and place.build not in open_builds
-        )
-        if tries >= BASE_LEAST:
-            return lambda rev: rev != build and rev not in open_builds
-        return lambda rev: rev != build
+    def serves(self, sums: Seen, build: int, open_builds: set[int]) -> tuple[Callable[[int], bool], int]:
+        """Whether a build is one to compare with: it serves, or too little does and it is the other trial.
 
-    def compare(self, seen: Seen, build: int, open_builds: set[int]) -> tuple[list[Finding], bool]:
+        With it the build that is left out by itself, 0 where all on trial are.
+        """
+        without = open_builds | {build}
+        tries = sum(cell.tries for _, place, cell in sums if place.build not in without)
+        if tries < BASE_LEAST:
+            return lambda rev: rev != build, build
+        if build in open_builds:
+            return lambda rev: rev not in open_builds, 0
+        return lambda rev: rev not in without, build
+
+    def compare(
+        self, sums: Seen, boxes: Boxes, build: int, base: Callable[[int], bool]
+    ) -> tuple[list[Finding], bool]:
         """What the build is blamed for beside what serves, and whether there is a doubt that holds it."""
-        base = self.serves(seen, build, open_builds)
-        zones = sorted({place.zone for _, place, _ in seen if place.build == build})
-        routes = sorted({place.route for _, place, _ in seen if place.build == build})
+        zones = sorted({place.zone for _, place, _ in sums if place.build == build})
+        routes = sorted({place.route for _, place, _ in sums if place.build == build})
         alarm = FALSE_ALARM / (LOOKS * self.judges * 4 * (1 + len(zones) + len(routes)))
-        whole = errors(seen, build, base)
-        by_zone = {zone: errors([one for one in seen if one[1].zone == zone], build, base) for zone in zones}
+        whole = errors(sums, build, base)
+        by_zone = {zone: errors([one for one in sums if one[1].zone == zone], build, base) for zone in zones}
         by_route = {
-            route: errors([one for one in seen if one[1].route == route], build, base) for route in routes
+            route: errors([one for one in sums if one[1].route == route], build, base) for route in routes
         }
         found: list[Finding] = []
 
@@ -285,7 +297,6 @@
                     Cause.BUILD, build, "fails", zone, route, 1 - least.p, least.words(), seen=whole.tries
                 )
             )
-        boxes = Boxes(seen, base)
         slow = {zone: boxes.slowness(build, zone) for zone in ["", *zones]}
         worst = min(slow.values(), key=lambda one: one.p)
         if worst.ratio > SLOW_RATIO and worst.p < alarm:
@@ -299,12 +310,12 @@
         doubt = doubt or any(doubtful(one) for one in slow.values()) or not quick(slow[""])
         return found, doubt
 
-    def clean(self, seen: Seen, trial: Trial, now: float, boxes: list[Box]) -> bool:
+    def clean(self, sums: Seen, trial: Trial, now: float, boxes: list[Box]) -> bool:
         ages = [box.age(now) for box in boxes if box.build == trial.build and box.ready]
         if not ages or min(ages) < SETTLE:
             return False
-        tries = sum(cell.tries for _, place, cell in seen if place.build == trial.build)
-        failed = sum(cell.failed for _, place, cell in seen if place.build == trial.build)
+        tries = sum(cell.tries for _, place, cell in sums if place.build == trial.build)
+        failed = sum(cell.failed for _, place, cell in sums if place.build == trial.build)
         few = tries >= CLEAN_FEW and not failed and min(ages) >= SETTLE + CONSENT
         return tries - failed >= CLEAN or few
 
