--- a/gullmount/days/from_bench.py
+++ b/gullmount/days/from_bench.py
@@ -33,6 +33,7 @@
     "hot_caller": "hot_caller",
     "neighbour": "neighbour",
     "peer_down": "messages_lost",
+    "probe_fail": "probe_fail",
     "retry_abuse": "retry_abuse",
     "shared_slow": "shared_slow",
     "slow_link": "slow_link",
--- a/gullmount/days/terms.py
+++ b/gullmount/days/terms.py
@@ -162,6 +162,7 @@
     "launcher_stalls",
     "messages_lost",
     "neighbour",
+    "probe_fail",
     "retry_abuse",
     "roster_down",
     "roster_late",
--- a/gullmount/days/troubles.py
+++ b/gullmount/days/troubles.py
@@ -120,6 +120,15 @@
                 box.crowded = 0.0
             await anyio.sleep(max(0.5, trouble.extra))
 
+    async def probe_fail(self, trouble: Trouble) -> None:
+        """Boxes that serve well say that they are unwell when asked."""
+        boxes = self.some_boxes(trouble.part)
+        for box in boxes:
+            box.unwell = True
+        await anyio.sleep(trouble.length)
+        for box in boxes:
+            box.unwell = False
+
     async def retry_abuse(self, trouble: Trouble) -> None:
         self.day.mood.abuse = True
         await anyio.sleep(trouble.length)
--- a/gullmount/standins/boxes.py
+++ b/gullmount/standins/boxes.py
@@ -16,6 +16,7 @@
 from gullmount.standins.record import Record
 
 SLACK = 0.5  # s of full work by which a cold box may be over its budget before it falls: chance alone
+HEALTH = "/healthz"  # the path at which a box is asked how it is
 REPORT_OVER = 1.0  # s over which a box counts its reqs a second
 SHARED_OVER = 2.0  # s over which the share of a build that slows all is taken
 
@@ -117,6 +118,7 @@
         self.lost_how = "silence"
         self.frozen: str | None = None  # the load report that it goes on sending
         self.slower = 1.0
+        self.unwell = False  # what it says of itself when asked; it serves all the same
         self.handshake_slow = 1.0
         self.came: deque[tuple[float, float]] = deque()  # when and how much work, while cold
         self.recent: deque[float] = deque()
@@ -185,6 +187,8 @@
 
     async def answer(self, asked: Asked, stream: Stream) -> Said:
         now = self.around.record.now()
+        if asked.target == HEALTH:
+            return Said(503 if self.unwell else 200, b"unwell\n" if self.unwell else b"well\n")
         umpire = self.around.name_of(source_of(stream))
         told = asked.headers
         req, route, mark = told.get("x-req-id", ""), told.get("x-route", ""), told.get("x-mark", "")
