--- a/gullmount/net/tcp.py
+++ b/gullmount/net/tcp.py
@@ -15,10 +15,12 @@
 
 class UdpDatagrams:
     def __init__(self, sock: UDPSocket) -> None:
+        self.sending = anyio.Lock()
         self.sock = sock
 
     async def send(self, data: bytes, address: str) -> None:
-        await self.sock.sendto(data, *split(address))
+        async with self.sending:  # the socket bears one sender at a time
+            await self.sock.sendto(data, *split(address))
 
     async def receive(self) -> tuple[bytes, str]:
         data, (host, port) = await self.sock.receive()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,7 +10,7 @@
 
 from gullmount.blame import Cause, Finding, Row, Standing
 from gullmount.interface import BoxState, Listed, ListKind
-from gullmount.net import MemoryNet
+from gullmount.net import MemoryNet, TcpNet
 from gullmount.umpire.control import PEER_MOST, Peers
 from gullmount.umpire.host import SocketHost
 from tests.edge import terms
@@ -140,3 +140,20 @@
     heard, _ = host.umpire.inquest.heard[1]
     assert (heard.clear, heard.failing, heard.lessened) == ({3: 1}, {2: ["pay"]}, 3)
     assert heard.finding.key == standing.finding.key and heard.blamed[2].startswith("why why")
+
+
+def test_messages_sent_at_once_on_a_socket_all_come() -> None:
+    async def scene() -> list[bytes]:
+        net, got = TcpNet(), []
+        one, two = await net.datagrams("127.97.1.1:7100"), await net.datagrams("127.97.1.2:7100")
+        async with anyio.create_task_group() as tasks:
+            for number in range(50):
+                tasks.start_soon(one.send, b"%d" % number, "127.97.1.2:7100")
+            with anyio.move_on_after(5):
+                while len(got) < 50:
+                    got.append((await two.receive())[0])
+        await one.aclose()
+        await two.aclose()
+        return got
+
+    assert len(anyio.run(scene)) == 50
