--- a/gullmount/umpire/control.py
+++ b/gullmount/umpire/control.py
@@ -396,6 +396,15 @@
             self.host.write_log("peer not told", peer=peer, why=type(fault).__name__)
 
     async def hear(self) -> None:
+        """Until cancelled. The datagrams are closed here: a second thing to unwind beside the task group made
+        its cancellation its own context, which the event loop then followed for ever."""
+        try:
+            await self.hear_on()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self.datagrams.aclose()
+
+    async def hear_on(self) -> None:
         while True:
             try:
                 data, source = await self.datagrams.receive()
--- a/gullmount/umpire/running.py
+++ b/gullmount/umpire/running.py
@@ -92,7 +92,6 @@
                 self.believe(remembered)
             if self.terms.peers is not None:
                 datagrams = await self.net.datagrams(self.terms.peers.listen)
-                stack.push_async_callback(datagrams.aclose)
                 peers = Peers(self.host, datagrams, dict(self.terms.peers.addresses))
                 self.host.on_tell = peers.tell
                 if self.host.umpire.inquest is not None:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -212,3 +212,12 @@
     broken = run("day", "check", str(tmp_path), "--json")
     assert broken.returncode == 1
     assert not json.loads(broken.stdout)["kept"]
+
+
+def test_day_on_sockets_whose_umpires_tell_each_other_ends(tmp_path: Path) -> None:
+    told = (Path(__file__).parent.parent / "days" / "blame" / "calm.yaml").read_text()
+    assert "length: 30" in told and "may_tell: true" in told
+    (tmp_path / "short.yaml").write_text(told.replace("length: 30", "length: 4"))
+    result = run("day", "run", str(tmp_path / "short.yaml"), "--json")
+    assert result.returncode in (0, 1), result.stderr
+    assert json.loads(result.stdout)["summary"]["reqs"] > 100
