Blame read again: one pairing of tries with their answers, one way to post to a peer, dead parts out

Cause: the baselines and the report each paired what boxes got with what they answered; the command and the benchmark each made the block of addresses; the check for a peer without an address stood in one of three senders, the others would have taken the umpire down; a look summed the same 20 s twice; a non-judge kept a standing that nothing read, fits returned figures that nobody took, `boxes` was never found.

--- a/benchmarks/blame.py
+++ b/benchmarks/blame.py
@@ -29,11 +29,12 @@
 def play(case: str, seed: int, virtual: bool) -> dict[str, Any]:
     """One run's result, small enough to keep."""
     terms = read(CASES / f"{case}.yaml", DayTerms)
-    about, lines = run.run(terms, seed, virtual, f"127.{20 + os.getpid() % 200}")
+    about, lines = run.run(terms, seed, virtual, run.block_of(os.getpid()))
     events = [json.loads(line) for line in lines.splitlines()]
-    broken = [finding.rule for finding in check(about, events) if finding.breaches]
+    findings = check(about, events)
+    broken = [finding.rule for finding in findings if finding.breaches]
     said = verdicts(about, events)
-    together = check(about, events)[4].checked.get("% of a window's reqs at trials together, most", 0)
+    together = findings[4].checked.get("% of a window's reqs at trials together, most", 0)
     return {
         "case": case,
         "seed": seed,
--- a/gullmount/blame/compare.py
+++ b/gullmount/blame/compare.py
@@ -68,10 +68,8 @@
 
 def collapsed(seen: Seen) -> Seen:
     """The same without the seconds."""
-    whole: dict[Place, Cell] = {}
+    whole: dict[Place, Cell] = defaultdict(Cell)
     for _, place, cell in seen:
-        if place not in whole:
-            whole[place] = Cell()
         whole[place].add(cell.tries, cell.failed, cell.timed, cell.total, cell.squares)
     return [(0, place, cell) for place, cell in whole.items()]
 
@@ -131,9 +129,9 @@
             if self.base(build):
                 zones[zone][0] += timed
                 zones[zone][1] += total
-        self.zones = {zone: total / timed for zone, (timed, total) in zones.items() if timed >= ZONE_LEAST}
+        offsets = {zone: total / timed for zone, (timed, total) in zones.items() if timed >= ZONE_LEAST}
         for (_, _, zone), sums in self.sums.items():
-            offset = self.zones.get(zone, 0.0)
+            offset = offsets.get(zone, 0.0)
             sums[2] += sums[0] * offset * offset - 2 * offset * sums[1]
             sums[1] -= sums[0] * offset
 
--- a/gullmount/blame/dose.py
+++ b/gullmount/blame/dose.py
@@ -15,9 +15,7 @@
 from numpy.typing import NDArray
 
 NOISE = 0.16  # octaves by which a second's mean time varies beyond chance: loads, queues
-STRENGTHS = tuple(
-    0.25 * 1.25**step for step in range(20)
-)  # slowdown for each whole share, tried in turn: to 17
+STRENGTHS = tuple(0.25 * 1.25**step for step in range(20))  # slowdown by a whole share, in turn: to 17
 LATELY = 3  # newest slices over which the rise now is taken
 STEPS_LEAST = 2  # slices that a step lasts that is over
 BUILD_FREEDOM = 2.0  # a build's strength, and that there is one
@@ -44,7 +42,6 @@
 
     order: Sequence[tuple[str, int, float]]  # what, build, Schwarz's difference
     risen: float  # octaves now above the calm before, by the best
-    strength: float  # of the best, if a build's
 
     @property
     def best(self) -> tuple[str, int, float]:
@@ -55,14 +52,14 @@
         return self.order[1][2] if len(self.order) > 1 else 0.0
 
 
-def fit(y: Numbers, weight: Numbers, shape: Numbers) -> tuple[float, float, float]:
-    """Least squares of y on a level and the shape, not downward: what is left, the level, the factor."""
+def fit(y: Numbers, weight: Numbers, shape: Numbers) -> tuple[float, float]:
+    """Least squares of y on a level and the shape, not downward: what is left, and the factor."""
     whole = weight.sum()
     middle, centre = (weight * y).sum() / whole, (weight * shape).sum() / whole
     spread = (weight * (shape - centre) ** 2).sum()
     factor = max(0.0, float((weight * (shape - centre) * (y - middle)).sum() / spread)) if spread > 0 else 0.0
     level = float(middle - factor * centre)
-    return float((weight * (y - level - factor * shape) ** 2).sum()), level, factor
+    return float((weight * (y - level - factor * shape) ** 2).sum()), factor
 
 
 def explain(seconds: Seconds) -> Explained:
@@ -70,32 +67,32 @@
     count = len(y)
     weight = 1 / (seconds.variances + NOISE**2)
     price = log(max(2, count))
-    none, _, _ = fit(y, weight, np.zeros(count))
-    found: list[tuple[float, str, int, float, float]] = [(none, "nothing", 0, 0.0, 0.0)]
+    none, _ = fit(y, weight, np.zeros(count))
+    found: list[tuple[float, str, int, float]] = [(none, "nothing", 0, 0.0)]
     for build, share in sorted(seconds.shares.items()):
         if share.max() - share.min() >= MOVES_LEAST:
-            left, strength, risen = by_share(y, weight, share)
-            found.append((left + BUILD_FREEDOM * price, "build", build, risen, strength))
+            left, risen = by_share(y, weight, share)
+            found.append((left + BUILD_FREEDOM * price, "build", build, risen))
     load = np.log2(np.maximum(seconds.loads, 1.0))
-    left, _, factor = fit(y, weight, load)
+    left, factor = fit(y, weight, load)
     risen = factor * float(load[-LATELY:].mean() - np.median(load))
-    found.append((left + LOAD_FREEDOM * price, "load", 0, risen, 0.0))
+    found.append((left + LOAD_FREEDOM * price, "load", 0, risen))
     left, risen = by_step(y, weight)
-    found.append((left + STEP_FREEDOM * price, "shared", 0, risen, 0.0))
+    found.append((left + STEP_FREEDOM * price, "shared", 0, risen))
     found.sort(key=lambda one: one[0])
-    order = [(what, build, cost - found[0][0]) for cost, what, build, _, _ in found]
-    return Explained(order, found[0][3], found[0][4])
+    order = [(what, build, cost - found[0][0]) for cost, what, build, _ in found]
+    return Explained(order, found[0][3])
 
 
-def by_share(y: Numbers, weight: Numbers, share: Numbers) -> tuple[float, float, float]:
-    """What is left, the strength, and the rise now, where times follow 1 + strength x share."""
-    best = (float("inf"), 0.0, 0.0)
+def by_share(y: Numbers, weight: Numbers, share: Numbers) -> tuple[float, float]:
+    """What is left, and the rise now, where times follow 1 + strength x share, by the best strength."""
+    best = (float("inf"), 0.0)
     for strength in STRENGTHS:
         shape = np.log2(1 + strength * share)
         level = float((weight * (y - shape)).sum() / weight.sum())
         left = float((weight * (y - level - shape) ** 2).sum())
         if left < best[0]:
-            best = left, strength, float(shape[-LATELY:].mean())
+            best = left, float(shape[-LATELY:].mean())
     return best
 
 
--- a/gullmount/blame/evidence.py
+++ b/gullmount/blame/evidence.py
@@ -81,11 +81,14 @@
                 self.cells -= len(self.slices.pop(old))
         return self.slices[part]
 
+    def cell(self, part: int, place: Place) -> Cell:
+        cells = self.at(part)
+        self.cells += place not in cells
+        return cells[place]
+
     def note(self, now: float, place: Place, time: float | None, failed: bool) -> None:
         """A try that ended now; `time` in objectives, none where it says nothing."""
-        cells = self.at(int(now / SLICE))
-        self.cells += place not in cells
-        cells[place].note(time, failed)
+        self.cell(int(now / SLICE), place).note(time, failed)
         self.bound()
 
     def merge(self, now: float, rows: Iterable[Row]) -> None:
@@ -93,10 +96,8 @@
         current = int(now / SLICE)
         for row in rows:
             if -AHEAD <= row.ago < KEPT:
-                cells = self.at(current - max(0, row.ago))
-                place = Place(row.box, row.build, row.zone, row.route)
-                self.cells += place not in cells
-                cells[place].add(row.tries, row.failed, row.timed, row.total, row.squares)
+                cell = self.cell(current - max(0, row.ago), Place(row.box, row.build, row.zone, row.route))
+                cell.add(row.tries, row.failed, row.timed, row.total, row.squares)
         self.bound()
 
     def bound(self) -> None:
--- a/gullmount/blame/findings.py
+++ b/gullmount/blame/findings.py
@@ -14,7 +14,6 @@
     SHARED = "shared"  # all boxes slowed and no build's share explains when
     LOAD = "load"  # all boxes slowed as more reqs came
     ZONE = "zone"  # one zone's boxes slowed, whatever they run
-    BOXES = "boxes"  # some boxes slowed, whatever they run
     UNKNOWN = "unknown"  # it fell, and more than one of these would explain it
 
 
--- a/gullmount/blame/inquest.py
+++ b/gullmount/blame/inquest.py
@@ -87,7 +87,7 @@
         self.heard: dict[int, tuple[Standing, float]] = {}
         self.standing = Standing(Finding(Cause.NOTHING))
         self.said = {self.standing.finding.key}  # what was logged last
-        self.told_at = self.looked_at = self.heard_at = -1e9
+        self.told_at = self.looked_at = -1e9
         self.tell_rows: Callable[[int, list[Row]], None] | None = None
         self.tell_standing: Callable[[int, Standing], None] | None = None
         self.on_finding: Callable[[Finding], None] | None = None
@@ -116,20 +116,23 @@
         if judge < self.judges:
             self.heard[judge] = standing, now
 
+    def heard_of(self, judges: int, now: float) -> list[Standing]:
+        """What the first so many judges said lately."""
+        heard = self.heard.items()
+        return [told for judge, (told, at) in heard if judge < judges and now - at < STANDS_FOR]
+
     # What goes out
 
     def look(self, now: float, trials: Sequence[Trial], boxes: Iterable[Box]) -> list[Blamed]:
         """What is to be voted now."""
         self.note_moves(now, trials)
         judge = self.number < self.judges
-        standings = [told for told, at in self.heard.values() if now - at < STANDS_FOR]
+        standings = self.heard_of(self.judges, now)
         if judge or not standings:
             if now - self.looked_at >= LOOK_EVERY:
                 self.looked_at = now
                 self.inquire(now, trials, list(boxes))
             standings.append(self.standing)
-        elif self.standing.finding.key != standings[0].finding.key:
-            self.standing = standings[0]
         if self.may_tell and now - self.told_at >= TELL_EVERY:
             self.told_at = now
             self.tell(now, judge)
@@ -178,22 +181,22 @@
         before = self.said
         standing = Standing(Finding(Cause.NOTHING))
         seen = list(self.seen.since(now, SIGHT))
-        open_builds = {trial.build for trial in trials if trial.phase is not Phase.RELEASED}
+        sums = collapsed(seen)
+        open_builds = open_of(trials)
         findings: list[Finding] = []
         doubted: set[int] = set()
         suspects = [trial.build for trial in trials if self.may_be_blamed(trial, now)]
         since = int((now - LATELY) / SLICE)
-        for part in (seen, [one for one in seen if one[0] >= since]):
-            sums = collapsed(part)
+        late = [one for one in seen if one[0] >= since]
+        for part, part_sums in ((seen, sums), (late, collapsed(late))):
             boxes_of: dict[int, Boxes] = {}  # by the build left out, 0 where all on trial are
             for build in suspects:
-                base, apart = self.serves(sums, build, open_builds)
+                base, apart = self.serves(part_sums, build, open_builds)
                 if apart not in boxes_of:
                     boxes_of[apart] = Boxes(part, base)
-                against, doubt = self.compare(sums, boxes_of[apart], build, base)
+                against, doubt = self.compare(part_sums, boxes_of[apart], build, base)
                 findings += against
                 doubted |= {build} if doubt and part is seen else set()
-        sums = collapsed(seen)
         for found in findings:
             standing.blamed.setdefault(found.build, found.words())
             if found.route:
@@ -202,7 +205,7 @@
         if general.cause is Cause.BUILD:
             standing.blamed.setdefault(general.build, general.words())
             findings.append(general)
-        if general.cause in (Cause.NOTHING, Cause.ZONE, Cause.BOXES):
+        if general.cause in (Cause.NOTHING, Cause.ZONE):
             # Only one moves at a time, the oldest first: what follows a move can then be laid to it.
             for trial in trials:
                 others = [at for build, (_, _, at) in self.moved.items() if build != trial.build]
@@ -226,11 +229,10 @@
         Guards against never knowing: while shares stand still a build that slows all looks as a dependency
         does. Harm: keys of that part meet the earlier build for some seconds.
         """
-        first = [told.lessened for told, at in self.before(now)]
-        if first:
+        for told in self.heard_of(self.number, now):
             # One judge tries at a time: two shares lessened at once could not be told apart.
-            self.tried = (first[0], now) if first[0] else self.tried
-            return first[0]
+            self.tried = (told.lessened, now) if told.lessened else self.tried
+            return told.lessened
         build, since = self.tried
         if build and now - since < TRY_FOR:
             return 0 if build in standing.blamed else build
@@ -243,14 +245,6 @@
             return general.build
         return 0
 
-    def before(self, now: float) -> list[tuple[Standing, float]]:
-        """What is heard of the judges that come before this one."""
-        return [
-            (told, at)
-            for judge, (told, at) in sorted(self.heard.items())
-            if judge < self.number and now - at < STANDS_FOR
-        ]
-
     def may_be_blamed(self, trial: Trial, now: float) -> bool:
         _, phase, at = self.moved[trial.build]
         return phase is Phase.ON_TRIAL or (
@@ -283,19 +277,12 @@
             route: errors([one for one in sums if one[1].route == route], build, base) for route in routes
         }
         found: list[Finding] = []
-
-        def guilty(one: Errors) -> bool:
-            return one.failed >= FAILED_LEAST and one.more > FAIL_MARGIN and one.p < alarm
-
         tests = [whole, *by_zone.values(), *by_route.values()]
         least = min(tests, key=lambda one: one.p)
-        if guilty(least):
-            zone = only(zones, [zone for zone in zones if by_zone[zone].failed], by_zone)
-            route = only(routes, [route for route in routes if by_route[route].failed], by_route)
+        if least.failed >= FAILED_LEAST and least.more > FAIL_MARGIN and least.p < alarm:
+            where = only(by_zone), only(by_route)
             found.append(
-                Finding(
-                    Cause.BUILD, build, "fails", zone, route, 1 - least.p, least.words(), seen=whole.tries
-                )
+                Finding(Cause.BUILD, build, "fails", *where, 1 - least.p, least.words(), seen=whole.tries)
             )
         slow = {zone: boxes.slowness(build, zone) for zone in ["", *zones]}
         worst = min(slow.values(), key=lambda one: one.p)
@@ -414,9 +401,14 @@
         return Finding(Cause.NOTHING, seen=tries)
 
 
+def open_of(trials: Sequence[Trial]) -> set[int]:
+    """The builds that do not serve: on trial, or going back."""
+    return {trial.build for trial in trials if trial.phase is not Phase.RELEASED}
+
+
 def bears(trial: Trial, trials: Sequence[Trial], boxes: list[Box]) -> bool:
     """Whether what serves can take what the trial's lessened share would leave it."""
-    open_builds = {one.build for one in trials if one.phase is not Phase.RELEASED}
+    open_builds = open_of(trials)
     ready = [box.build for box in boxes if box.ready]
     serving = sum(build not in open_builds for build in ready) / max(1, len(ready))
     left = min(trial.share, LESSENED * trial.cap)
@@ -433,12 +425,13 @@
     return out / DOSE_OVER
 
 
-def only(all_of: list[str], failing: list[str], tests: dict[str, Errors]) -> str:
+def only(tests: dict[str, Errors]) -> str:
     """The one part that fails where others were tried well enough without; none otherwise."""
-    if len(failing) != 1 or len(all_of) < 2:  # noqa: PLR2004 (there must be another)
+    failing = [part for part, one in tests.items() if one.failed]
+    if len(failing) != 1 or len(tests) < 2:  # noqa: PLR2004 (there must be another)
         return ""
     share = tests[failing[0]].failed / tests[failing[0]].tries
-    others = sum(tests[part].tries for part in all_of if part != failing[0])
+    others = sum(one.tries for part, one in tests.items() if part != failing[0])
     return failing[0] if (1 - share) ** others < DOUBT else ""
 
 
--- a/gullmount/checker/verdicts.py
+++ b/gullmount/checker/verdicts.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from math import log
 from typing import Any
@@ -18,6 +19,7 @@
 CALM_UNTIL = 2.0  # s before the first wave that the calm is taken from, at most all of it
 LATE_FROM, LATE_LESS = 11.0, 6.0  # s of age at which such a box turns bad, and how much sooner by its size
 LEAST = 6  # answers that a stretch needs
+TOOK_LEAST = 1e-4  # s; what took less counts as this
 SOON = 10.0  # s from a bad build's first reqs in which it should be back
 
 
@@ -72,18 +74,7 @@
     for event in events:
         ev, t = event["ev"], event["t"]
         if ev == "log" and event["event"] == "blame":
-            one = Said(
-                t,
-                event["umpire"],
-                event["cause"],
-                event["build"],
-                event["how"],
-                event["zone"],
-                event["route"],
-                event["sure"],
-                event["figures"],
-                event["settles"],
-            )
+            one = Said(**{name: event[name] for name in Said.__annotations__})
             found.said.append(one)
             if one.cause == "build":
                 found.blamed.setdefault(one.build, t)
@@ -99,40 +90,56 @@
     return found
 
 
+@dataclass(frozen=True)
+class Answered:
+    """One try that a box began and answered; times in seconds."""
+
+    t: float
+    build: int
+    route: str
+    took: float  # from its coming
+    failed: bool
+
+
+def answers(events: list[Event]) -> Iterator[Answered]:
+    """In the order of their ends."""
+    came: dict[tuple[str, str], Event] = {}
+    for event in events:
+        if event["ev"] == "box_got":
+            came[event["box"], event["req"]] = event
+        elif event["ev"] == "box_answered" and event["begun"]:
+            got = came.pop((event["box"], event["req"]), {"t": event["t"], "route": ""})
+            failed = event["status"] >= 500  # noqa: PLR2004 (HTTP: the server's fault)
+            yield Answered(event["t"], event["build"], got["route"], event["t"] - got["t"], failed)
+
+
 def baselines(about: Event, events: list[Event]) -> dict[str, int]:
     """Whom "the newest" and "whose own boxes look worst" would blame when service first falls; 0 for none."""
     waves = [release["at"] + about["lead"] for release in about["day"]["releases"]]
-    came: dict[tuple[str, str], tuple[float, str]] = {}
-    answers: list[tuple[float, int, str, float, bool]] = []  # when, build, route, time, whether it failed
+    ended = list(answers(events))
     open_since: dict[int, float] = {}
     for event in events:
-        if event["ev"] == "box_got":
-            came[event["box"], event["req"]] = event["t"], event["route"]
-        elif event["ev"] == "box_answered" and event["begun"]:
-            start, route = came.pop((event["box"], event["req"]), (event["t"], ""))
-            failed = event["status"] >= 500  # noqa: PLR2004 (HTTP: the server's fault)
-            answers.append((event["t"], event["build"], route, event["t"] - start, failed))
-        elif event["ev"] == "build" and event["phase"] == "on_trial":
+        if event["ev"] == "build" and event["phase"] == "on_trial":
             open_since.setdefault(event["build"], event["t"])
     calm: dict[str, list[float]] = defaultdict(list)
-    for t, _, route, time, _ in answers:
-        if t < min(waves, default=0.0) + CALM_UNTIL:
-            calm[route].append(log(max(time, 1e-4)))
+    for one in ended:
+        if one.t < min(waves, default=0.0) + CALM_UNTIL:
+            calm[one.route].append(log(max(one.took, TOOK_LEAST)))
     usual = {route: sum(times) / len(times) for route, times in calm.items()}
 
-    def score(part: list[tuple[float, int, str, float, bool]]) -> tuple[float, float]:
+    def score(part: list[Answered]) -> tuple[float, float]:
         if len(part) < LEAST:
             return 0.0, 0.0
-        slower = [log(max(time, 1e-4)) - usual[route] for _, _, route, time, _ in part if route in usual]
-        return sum(one[4] for one in part) / len(part), sum(slower) / max(1, len(slower))
+        slower = [log(max(one.took, TOOK_LEAST)) - usual[one.route] for one in part if one.route in usual]
+        return sum(one.failed for one in part) / len(part), sum(slower) / max(1, len(slower))
 
     step = STRETCH / 4
     t = min(waves, default=0.0) + STRETCH
-    end = answers[-1][0] if answers else 0.0
+    end = ended[-1].t if ended else 0.0
     while t < end:
-        part = [one for one in answers if t - STRETCH <= one[0] < t]
+        part = [one for one in ended if t - STRETCH <= one.t < t]
         builds = [build for build, since in open_since.items() if since < t]
-        by_build = {build: score([one for one in part if one[1] == build]) for build in builds}
+        by_build = {build: score([one for one in part if one.build == build]) for build in builds}
         fallen = [score(part), *by_build.values()]
         if builds and any(errors > FELL_ERRORS or slower > log(FELL_SLOWER) for errors, slower in fallen):
             worst = max(builds, key=lambda build: by_build[build][0] / FELL_ERRORS + by_build[build][1])
--- a/gullmount/cli.py
+++ b/gullmount/cli.py
@@ -176,18 +176,13 @@
     console = Console(stderr=True)
     how = "in virtual time" if virtual else f"on loopback sockets, {terms.length:.0f} s"
     with console.status(f"playing {terms.name}, seed {seed}, {how}"):
-        about, lines = days.run(terms, seed, virtual, block_of(os.getpid()))
+        about, lines = days.run(terms, seed, virtual, days.block_of(os.getpid()))
     if folder is not None:
         record.write(folder, about, lines)
     events = [json.loads(line) for line in lines.splitlines()]
     tell(about, events, as_json)
 
 
-def block_of(number: int) -> str:
-    """Loopback addresses of one process, so that days played side by side do not meet."""
-    return f"127.{20 + number % 200}"
-
-
 @day.command("check")
 @click.argument("folder", type=Path_)
 @click.option("--json", "as_json", is_flag=True, help="The result as JSON on standard output.")
--- a/gullmount/days/run.py
+++ b/gullmount/days/run.py
@@ -379,6 +379,11 @@
         self.record.note("over", out=sum(clients.out for clients in self.clients))
 
 
+def block_of(number: int) -> str:
+    """Loopback addresses of one process, so that days played side by side do not meet."""
+    return f"127.{20 + number % 200}"
+
+
 async def play(
     terms: DayTerms,
     seed: int,
--- a/gullmount/reports/blame.py
+++ b/gullmount/reports/blame.py
@@ -8,7 +8,7 @@
 from statistics import median
 from typing import Any
 
-from gullmount.checker.verdicts import Verdicts, verdicts
+from gullmount.checker.verdicts import Verdicts, answers, verdicts
 
 Event = dict[str, Any]
 
@@ -40,7 +40,6 @@
     count = int(length / STEP) + 1
     made.times = [number * STEP for number in range(count)]
     builds = sorted({event["build"] for event in events if event["ev"] == "box_got"})
-    came: dict[tuple[str, str], float] = {}
     tries: dict[int, list[int]] = {build: [0] * count for build in builds}
     times: dict[tuple[int, int], list[float]] = defaultdict(list)
     failed: dict[tuple[int, int], int] = defaultdict(int)
@@ -48,23 +47,22 @@
         at = min(count - 1, int(event["t"] / STEP))
         if event["ev"] == "box_got":
             tries[event["build"]][at] += 1
-            came[event["box"], event["req"]] = event["t"]
-        elif event["ev"] == "box_answered" and event["begun"]:
-            start = came.pop((event["box"], event["req"]), event["t"])
-            times[event["build"], at].append(event["t"] - start)
-            failed[event["build"], at] += event["status"] >= 500  # noqa: PLR2004 (HTTP: the server's fault)
         elif event["ev"] == "build":
             what = "released" if event["phase"] == "released" else event["phase"].replace("_", " ")
             what = f"stage {event['stage']}" if event["phase"] == "on_trial" else what
             made.moves.append((event["t"], event["build"], what))
         elif event["ev"] == "trouble":
             made.troubles.append((event["t"], event["t"] + event["length"], event["kind"]))
+    for one in answers(events):
+        at = min(count - 1, int(one.t / STEP))
+        times[one.build, at].append(one.took)
+        failed[one.build, at] += one.failed
     whole = [sum(tries[build][at] for build in builds) for at in range(count)]
     for build in builds:
         made.shares[build] = [tries[build][at] / whole[at] if whole[at] else None for at in range(count)]
         seen = [times.get((build, at), []) for at in range(count)]
-        made.taken[build] = [median(one) if one else None for one in seen]
-        made.errors[build] = [failed[build, at] / len(one) if one else None for at, one in enumerate(seen)]
+        made.taken[build] = [median(part) if part else None for part in seen]
+        made.errors[build] = [failed[build, at] / len(part) if part else None for at, part in enumerate(seen)]
     return made
 
 
--- a/gullmount/standins/links.py
+++ b/gullmount/standins/links.py
@@ -24,10 +24,12 @@
 class LinkedStream(Stream):
     """A stream over a link: slower by its delay, and held up while it is cut, as TCP is."""
 
-    def __init__(self, inner: Stream, links: Links, here: str, there: str, pair: tuple[str, str]) -> None:
+    def __init__(
+        self, inner: Stream, links: Links, here: str, there: str, pair: tuple[str, str], begun: float
+    ) -> None:
         self.inner = inner
         self.pair = pair
-        self.begun: float | None = None  # when connecting began, until the first bytes are sent
+        self.begun: float | None = begun  # when connecting began, until the first bytes are sent
         self.links = links
         self.here = here
         self.there = there
@@ -186,9 +188,7 @@
             except BaseException:
                 await abort(inner)
                 raise
-        stream = LinkedStream(inner, links, self.zone, there, (self.host, address))
-        stream.begun = begun
-        return self.hold(stream)
+        return self.hold(LinkedStream(inner, links, self.zone, there, (self.host, address), begun))
 
     def hold(self, stream: Stream) -> Stream:
         """Remember it, so that a kill ends it; closed ones are forgotten now and then."""
--- a/gullmount/umpire/control.py
+++ b/gullmount/umpire/control.py
@@ -1,8 +1,7 @@
 """Roster, launcher and peers: their messages decoded into calls on the module, its wishes encoded for them.
 
 The formats stand in docs/protocols.md. What cannot be understood is dropped with a line in the log; a list
-that
-cannot be understood ends that watch, and the list in hand stays.
+that cannot be understood ends that watch, and the list in hand stays.
 """
 
 from __future__ import annotations
@@ -360,17 +359,13 @@
         self.addresses = addresses
 
     def tell(self, peer: int, build: int, stage: int, verdict: Verdict) -> None:
-        if peer in self.addresses:
-            self.host.tasks.start_soon(self.send, peer, build, stage, verdict)
-
-    async def send(self, peer: int, build: int, stage: int, verdict: Verdict) -> None:
-        await self.pass_on(peer, {"build": build, "stage": stage, "verdict": verdict.value})
+        self.post(peer, {"build": build, "stage": stage, "verdict": verdict.value})
 
     def tell_rows(self, peer: int, rows: list[Row]) -> None:
         """What was seen since the last telling, in as many messages as it needs."""
         a_message = PEER_MOST // ROW_ABOUT
         for start in range(0, len(rows), a_message):
-            self.host.tasks.start_soon(self.pass_on, peer, {"rows": rows[start : start + a_message]})
+            self.post(peer, {"rows": rows[start : start + a_message]})
 
     def tell_standing(self, peer: int, standing: Standing) -> None:
         told = {
@@ -386,7 +381,11 @@
                 standing.finding.route,
             ],
         }
-        self.host.tasks.start_soon(self.pass_on, peer, {"standing": told})
+        self.post(peer, {"standing": told})
+
+    def post(self, peer: int, fields: dict[str, Any]) -> None:
+        if peer in self.addresses:
+            self.host.tasks.start_soon(self.pass_on, peer, fields)
 
     async def pass_on(self, peer: int, fields: dict[str, Any]) -> None:
         message = {"v": VERSION, "from": self.host.terms.number, **fields}
--- a/gullmount/umpire/host.py
+++ b/gullmount/umpire/host.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import asdict
 from random import Random
 
 import anyio
@@ -97,18 +98,8 @@
         self.write_log("judge", said=text)
 
     def log_finding(self, found: Finding) -> None:
-        self.write_log(
-            "blame",
-            cause=found.cause.value,
-            build=found.build,
-            how=found.how,
-            zone=found.zone,
-            route=found.route,
-            sure=round(found.sure, 6),
-            figures=found.figures,
-            settles=found.settles,
-            seen=found.seen,
-        )
+        told = asdict(found) | {"cause": found.cause.value, "sure": round(found.sure, 6)}
+        self.write_log("blame", **told)
 
     # Reqs
 
--- a/tests/test_blame_days.py
+++ b/tests/test_blame_days.py
@@ -14,6 +14,7 @@
 from gullmount.days.run import run
 from gullmount.days.terms import DayTerms
 from gullmount.yamlfile import read
+from tests.test_days import breaches
 
 DAYS = Path(__file__).parent.parent / "days" / "blame"
 CASES = (
@@ -34,12 +35,7 @@
     terms = read(DAYS / f"{case}.yaml", DayTerms).model_copy(update=changes)
     about, lines = run(terms, seed, True, "127.98")
     events = [msgspec.json.decode(line) for line in lines.splitlines()]
-    broken = [
-        f"{breach.t} {breach.umpire}: {breach.what} {breach.reqs}"
-        for finding in check(about, events)
-        for breach in finding.breaches
-    ]
-    return verdicts(about, events), broken
+    return verdicts(about, events), breaches(check(about, events))
 
 
 @pytest.mark.parametrize("case", CASES)
