A vote answered without a line of news counts as not answered again

Cause: since a vote's answer may hold the state of several builds, one that holds none passed for a good answer, and the vote was not cast again.

Change: an empty answer is read as the one line that it is not.

Measured: the new test of an empty answer fails without it; junk and two lines of news are told as before.

--- a/gullmount/umpire/control.py
+++ b/gullmount/umpire/control.py
@@ -343,7 +343,7 @@
                 status, answer = await call(self.net, self.terms.address, "POST", "/v1/votes", body)
             if status != 200:  # noqa: PLR2004 (HTTP: ok)
                 raise Refused(f"status {status}")
-            for line in answer.splitlines():
+            for line in answer.splitlines() or [answer]:  # without a line it is no answer
                 self.news(decode(line).get("news"))
         except (Refused, NotUnderstood, TimeoutError) as fault:
             self.host.write_log("vote not answered", why=str(fault) or "no answer in time")
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,9 +9,9 @@
 import pytest
 
 from gullmount.blame import Cause, Finding, Row, Standing
-from gullmount.interface import BoxState, Listed, ListKind
-from gullmount.net import MemoryNet, TcpNet
-from gullmount.umpire.control import PEER_MOST, Peers
+from gullmount.interface import BoxState, Listed, ListKind, Verdict
+from gullmount.net import MemoryNet, Stream, TcpNet
+from gullmount.umpire.control import PEER_MOST, Launcher, Peers
 from gullmount.umpire.host import SocketHost
 from tests.edge import terms
 
@@ -157,3 +157,33 @@
         return got
 
     assert len(anyio.run(scene)) == 50
+
+
+@pytest.mark.parametrize(
+    ("body", "failed"),
+    [
+        (b"", [3]),
+        (b"x\n", [3]),
+        (b'{"v":1,"news":{"build":2,"stage":0,"phase":"on_trial","cap":0.1}}\n' * 2, []),
+    ],
+)
+def test_vote_answered_without_news_is_cast_again(body: bytes, failed: list[int]) -> None:
+    told = terms(launcher={"address": "l:1"})
+
+    async def answer(stream: Stream) -> None:
+        await stream.receive()
+        await stream.send(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) + body)
+
+    async def scene() -> list[int]:
+        again: list[int] = []
+        net = MemoryNet()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(net.serve, "l:1", answer)
+            await anyio.sleep(0.01)
+            host = SocketHost(told, net, tasks, 1, False, lambda event, **fields: None)
+            host.umpire.vote_failed = again.append  # type: ignore[method-assign,assignment]
+            await Launcher(host, net, lambda news: None).cast(3, 0, Verdict.BACK)
+            tasks.cancel_scope.cancel()
+        return again
+
+    assert anyio.run(scene) == failed
