--- a/gullmount/benchlink/link.py
+++ b/gullmount/benchlink/link.py
@@ -6,28 +6,22 @@
 from __future__ import annotations
 
 import json
-import re
 from collections.abc import Callable, Mapping
 from typing import Any, BinaryIO, ClassVar
 
 from gullmount.interface import (
     BoxState,
-    Grounds,
-    Group,
     Listed,
     ListKind,
     Outcome,
     Phase,
-    ReleaseTerms,
-    Repeats,
-    Route,
     Verdict,
 )
 from gullmount.policy import Umpire
+from gullmount.profile import MICRO, VERDICTS, decode_grounds, read_vote, seconds, vote_text
 from gullmount.state import Req
 
 SHOWN = 200  # characters of a faulty line that are shown
-MICRO = 1e6  # microseconds in a second, the wire's unit of time
 
 OUTCOMES = {
     100: Outcome.COMPLETED,
@@ -39,9 +33,6 @@
     306: Outcome.CANCELLED,
     307: Outcome.MOOT,
 }
-VERDICTS = {Verdict.NONE: 0, Verdict.ON: 1, Verdict.HOLD: 2, Verdict.BACK: 3}
-SENSES = {sense: verdict for verdict, sense in VERDICTS.items()}
-VOTE_TOLD = re.compile(r"(\d{1,5}) (\d{1,3}) ([0-3])", re.ASCII)  # build, stage and sense of a peer's vote
 PHASES = {0: Phase.ON_TRIAL, 1: Phase.GOING_BACK, 2: Phase.RELEASED, 3: Phase.WITHDRAWN}
 KINDS = {
     "changes": ListKind.CHANGES,
@@ -50,11 +41,6 @@
     "refused": ListKind.REFUSED,
 }
 STATES = {"Ready": BoxState.READY, "Terminating": BoxState.DRAINING, "Gone": BoxState.GONE}
-REPEATS = {
-    "idempotent": Repeats.RETRIABLE,
-    "deduplicated": Repeats.DEDUPED,
-    "at_most_once": Repeats.NON_RETRIABLE,
-}
 NUMBER = (int, float)
 MAYBE_TEXT = (str, type(None))
 MAYBE_INT = (int, type(None))
@@ -118,58 +104,10 @@
     return table[value]
 
 
-def seconds(micros: int | None) -> float:
-    return (micros or 0) / MICRO
-
-
 def micros(span: float) -> int:
     return round(span * MICRO)
 
 
-def decode_grounds(seed: int, profile: dict[str, Any]) -> Grounds:
-    ceilings, rules, specifics = profile["Ceilings"], profile["Rules"], profile["Specifics"]
-    routes = {
-        grade["Name"]: Route(
-            name=grade["Name"],
-            objective=seconds(grade["ObjectiveUs"]),
-            repeats=REPEATS[grade["Semantics"]],
-            group=Group(grade.get("Group") or "all"),
-            dedupe_window=seconds(grade.get("WindowUs")),
-        )
-        for grade in profile["Grades"]
-    }
-    release = ReleaseTerms(
-        caps=specifics["ExposureCaps"],
-        by_route=specifics["CountedBy"] == "class",
-        closed_stages=specifics["ClosedStages"],
-        one_way=specifics["OneWay"],
-        window=seconds(specifics["SpanUs"]),
-        spare_tries=specifics["SpareTries"],
-        timed=specifics["GateMode"] == "timer",
-        vote_life=seconds(specifics["VoteLifeUs"]),
-        to_advance=specifics["ToAdvance"],
-        back_votes=specifics["BackVotes"],
-        votes_per_s=specifics["VotesPerS"],
-        tally_period=seconds(specifics["MetricsPeriodUs"]),
-    )
-    return Grounds(
-        seed=seed,
-        routes=routes,
-        release=release,
-        zone=profile["Zone"],
-        number=profile["Me"],
-        umpires=profile["Siblings"],
-        may_tell=ceilings["Peers"],
-        link_idle=seconds(ceilings["ConnIdleUs"]),
-        cold_share=rules["ColdFrom"],
-        warm_time=seconds(rules["WarmAfterUs"]),
-        tip_multiple=rules["TipMultiple"],
-        max_tries=ceilings["MaxAttempts"],
-        may_subscribe=profile["Discovery"] == "subscribe",
-        max_retry_after=seconds(ceilings["MaxRetryAfterUs"]) if ceilings["RetryAfter"] else 0.0,
-    )
-
-
 class Instance:
     """One umpire and its host side: encodes what the umpire asks for."""
 
@@ -210,7 +148,7 @@
         self.act("Ruling", Ver=build, Step=stage, Sense=VERDICTS[verdict])
 
     def tell(self, peer: int, build: int, stage: int, verdict: Verdict) -> None:
-        self.act("WritePeer", Target=peer, Msg=f"{build} {stage} {VERDICTS[verdict]}")
+        self.act("WritePeer", Target=peer, Msg=vote_text(build, stage, verdict))
 
     def subscribe(self) -> None:
         self.act("KeepInformed", On=True)
@@ -267,10 +205,9 @@
 
     def on_note_from(self, event: dict[str, Any]) -> None:
         """A peer's text that is no vote is dropped: whoever sent it, it must not end this instance."""
-        told = VOTE_TOLD.fullmatch(event["Msg"])
+        told = read_vote(event["Msg"])
         if told is not None:
-            build, stage, sense = map(int, told.groups())
-            self.umpire.heard(event["Neighbour"], build, stage, SENSES[sense])
+            self.umpire.heard(event["Neighbour"], *told)
 
     def on_tally(self, event: dict[str, Any]) -> None:
         look_up(self.routes, "Tally", event, "Grade")
--- /dev/null
+++ b/gullmount/platform/discovery.py
@@ -0,0 +1,180 @@
+"""The list of boxes: a watch over HTTP, opened when the module asks, re-armed at once while it is answered.
+
+A list that cannot be read ends the watch, and the list in hand stays. The module says when to ask again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import msgspec
+
+from gullmount.interface import BoxState, Listed, ListKind
+from gullmount.net import BROKEN, Net, Stream
+from gullmount.platform.entrance import PlatformEntrance
+from gullmount.umpire.host import SocketHost
+from gullmount.umpire.messages import Answer
+from gullmount.umpire.wire import AnswerReader, End, Fault
+
+WAIT = 3.0  # s a watch may wait: what a lost answer would have told counts as told 2 s after that
+SLACK = 1.5  # s beyond that after which a watch is given up as silent
+CONNECT_WITHIN = 1.0  # s
+HEAD_MOST = 8192  # bytes of an answer's head
+ANSWER_MOST = 1 << 20  # bytes of a list: some five thousand boxes
+OK = 200
+
+STATES = {"ready": BoxState.READY, "draining": BoxState.DRAINING, "gone": BoxState.GONE}
+
+
+class Entry(msgspec.Struct):
+    """One box as discovery writes it."""
+
+    id: str
+    host_port: str
+    locality: str
+    cell: int
+    phase: str
+    version_no: int
+    size: float = 1.0
+    up_since_ms: float | None = 0
+
+
+class Page(msgspec.Struct):
+    revision: int
+    complete: bool
+    members: list[Entry]
+
+
+class Spoilt(Exception):
+    """A call that brought no list."""
+
+
+class Discovery:
+    """Lives as long as the instance. `wall` is the clock of `up_since_ms`, in seconds."""
+
+    def __init__(
+        self,
+        host: SocketHost,
+        entrance: PlatformEntrance,
+        net: Net,
+        address: str,
+        wall: Callable[[], float],
+    ) -> None:
+        self.host = host
+        self.entrance = entrance
+        self.net = net
+        self.address = address
+        self.revision = 0
+        self.ahead = host.now() - wall()  # of the wall clock: taken once, so that a start stays the same
+        self.processes: dict[str, tuple[str, int, float]] = {}  # which process stands at a box's id
+        self.scope: anyio.CancelScope | None = None
+
+    def believe(self, known: dict[str, Any]) -> None:
+        """Begin from the list as it was last had. Raises Spoilt."""
+        try:
+            page = msgspec.convert(known, type=Page)
+        except msgspec.ValidationError as fault:
+            raise Spoilt(str(fault)) from None
+        self.hear(page, ListKind.REMEMBERED)
+
+    def ask(self) -> None:
+        if self.scope is None:
+            self.scope = anyio.CancelScope()
+            self.host.tasks.start_soon(self.watch)
+
+    def move(self, address: str) -> None:
+        """Leave for another address at once."""
+        if address != self.address:
+            self.address = address
+            if self.scope is not None:
+                self.scope.cancel()
+
+    async def watch(self) -> None:
+        """Until it breaks; a move begins it anew."""
+        while True:
+            self.scope = anyio.CancelScope()
+            with self.scope:
+                try:
+                    await self.watch_at(self.address)
+                except (Spoilt, Fault, TimeoutError, *BROKEN) as fault:
+                    self.host.write_log("watch ended", why=f"{type(fault).__name__} {fault}")
+                break
+        self.scope = None
+        self.host.umpire.listed(ListKind.REFUSED, [])
+
+    async def watch_at(self, address: str) -> None:
+        with anyio.fail_after(CONNECT_WITHIN):
+            stream = await self.net.connect(address)
+        try:
+            while True:
+                with anyio.fail_after(WAIT + SLACK):
+                    data = await self.call(stream, address)
+                try:
+                    page = msgspec.json.decode(data, type=Page)
+                except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
+                    raise Spoilt(str(fault)) from None
+                self.hear(page, ListKind.FULL if page.complete else ListKind.CHANGES)
+        finally:
+            await anyio.aclose_forcefully(stream)
+
+    async def call(self, stream: Stream, address: str) -> bytes:
+        """One call on the watch's connection. Raises Spoilt, Fault or what a broken stream does."""
+        target = f"/v1/servers?after={self.revision}&wait_ms={round(WAIT * 1000)}"
+        await stream.send(f"GET {target} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode())
+        reader = AnswerReader(HEAD_MOST, "GET")
+        body: list[bytes] = []
+        size = 0
+        while True:
+            while not reader.parts:
+                if reader.fault is not None:
+                    raise reader.fault
+                reader.feed(await stream.receive())
+            part = reader.parts.popleft()
+            if isinstance(part, Answer) and part.status >= OK:
+                if part.status != OK:
+                    raise Spoilt(f"status {part.status}")
+            elif isinstance(part, bytes):
+                size += len(part)
+                if size > ANSWER_MOST:
+                    raise Spoilt("list too long")
+                body.append(part)
+            elif isinstance(part, End):
+                if not reader.keep or reader.fault is not None:
+                    self.host.write_log("watch ends after this answer")
+                return b"".join(body)
+
+    def hear(self, page: Page, kind: ListKind) -> None:
+        lines = [self.listed(entry) for entry in page.members]
+        for entry, line in zip(page.members, lines, strict=True):
+            process = entry.host_port, line.build, line.started
+            if self.processes.get(line.box, process) != process or line.state is BoxState.GONE:
+                self.host.upstream.forget(line.box)
+            if line.state is BoxState.GONE:
+                self.processes.pop(line.box, None)
+                self.entrance.addresses.pop(line.box, None)
+            else:
+                self.processes[line.box] = process
+                self.entrance.addresses[line.box] = entry.host_port
+        if kind is not ListKind.CHANGES:
+            named = {line.box for line in lines}
+            for box in [box for box in self.processes if box not in named]:
+                self.host.upstream.forget(box)
+                del self.processes[box], self.entrance.addresses[box]
+        self.revision = page.revision
+        self.host.umpire.listed(kind, lines)
+
+    def listed(self, entry: Entry) -> Listed:
+        if entry.phase not in STATES:
+            raise Spoilt("field phase has no such value")
+        started = entry.up_since_ms / 1000 + self.ahead if entry.up_since_ms else 0.0
+        return Listed(
+            box=entry.id,
+            zone=entry.locality,
+            cell=entry.cell,
+            build=entry.version_no,
+            state=STATES[entry.phase],
+            power=max(0.0, entry.size),
+            started=started,
+        )
--- /dev/null
+++ b/gullmount/platform/entrance.py
@@ -0,0 +1,168 @@
+"""Reqs and boxes by the platform's protocol: what is taken from clients, what goes on to boxes, which outcome
+their answers are. No I/O."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+
+from gullmount.interface import Grounds, Outcome, Repeats
+from gullmount.profile import SocketTerms
+from gullmount.umpire.entrance import Admission, BoxBounds, ClientBounds
+from gullmount.umpire.exchange import Exchange
+from gullmount.umpire.messages import KEY_MOST, Answer, Head, Headers, error_answer
+from gullmount.umpire.outcomes import PLAIN, Ending
+from gullmount.umpire.wire import Fault
+
+HEAD_MOST = 16384  # bytes of a req's head: the usual ones have some 300
+BODY_MOST = 65536  # bytes of any body, as the protocol says
+FIRST_WITHIN = 1.8  # s from connecting to a whole first req: who sends none is owed a close within 3 s
+READ_WITHIN = 1.8  # s in which a body must have come
+IDLE = 8.0  # s a client's connection may stand between reqs; it may be closed after 2 s
+WRITE_WITHIN = 2.0  # s for a client to take its answer
+LINGER = 0.3  # s of reading on behind an error: what is sent at full speed is not worth more
+ANSWER_MARGIN = 0.012  # s before the client's time is up by which its answer leaves: a few turns of the loop
+IDLE_MARGIN = 0.5  # s before a box may close an idle connection from which it is not used any more
+CLIENTS_PART = 0.5  # of the descriptors, for clients: they use a third for reqs, bad ones come on top
+BOXES_PART = 0.38  # of the descriptors, for boxes: the rest is for discovery, control and the program
+LINKS = 64  # connections to one box: by far more than are used where each carries one try
+PATIENCE_MOST = 9  # digits of a patience in ms: over 11 days
+MARK_MOST = 64  # characters of a req's id; the platform's have 16
+REMEMBERED_FOR = 4.0  # s at least in which an id that came again is known as such
+MARKS_MOST = 20_000  # ids remembered at most in that time, some 2 MB
+
+WELL = "/healthz"
+REQ_ID = re.compile(r"[!-~]+", re.ASCII)
+NOT_STARTED = b"not-started"
+COMPLETED = 200
+NOT_TAKEN = (503, 504)  # statuses by which a box says with its mark that it never began
+OUTCOMES = PLAIN | {
+    # The box starts on a req once its last byte has arrived: here a broken write is a proof.
+    Ending.WRITE_BROKE: Outcome.CONNECT_FAILED,
+    # Spoilt answers: the try ran, the connection is lost. As a reset they take no side between builds.
+    Ending.NOT_HTTP: Outcome.RESET,
+    Ending.OVERSIZED: Outcome.RESET,
+}
+METHODS = {Repeats.RETRIABLE: "GET", Repeats.NON_RETRIABLE: "POST"}
+
+
+class Marks:
+    """Ids of reqs, those that are open and those of the last seconds, in bounded memory.
+
+    Guards against a client that names another's req: it must not reach a box a second time.
+    """
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self.now = now
+        self.open: set[str] = set()
+        self.lately: set[str] = set()
+        self.before: set[str] = set()
+        self.turned = 0.0
+
+    def claim(self, mark: str) -> bool:
+        """Whether it is new."""
+        if self.now() - self.turned > REMEMBERED_FOR or len(self.lately) > MARKS_MOST:
+            self.lately, self.before, self.turned = set(), self.lately, self.now()
+        if mark in self.open or mark in self.lately or mark in self.before:
+            return False
+        self.open.add(mark)
+        self.lately.add(mark)
+        return True
+
+
+class PlatformEntrance:
+    def __init__(self, grounds: Grounds, terms: SocketTerms, sockets: int, now: Callable[[], float]) -> None:
+        self.grounds = grounds
+        self.timeouts = terms.timeouts
+        self.retry_after = grounds.max_retry_after > 0
+        self.marks = Marks(now)
+        self.addresses: dict[str, str] = {}  # by box
+        self.ready = False
+        self.clients = ClientBounds(
+            head_most=HEAD_MOST,
+            body_most=BODY_MOST,
+            body_kept=BODY_MOST,
+            connections=int(sockets * CLIENTS_PART),
+            makes_room=True,
+            first_within=FIRST_WITHIN,
+            read_within=READ_WITHIN,
+            idle=IDLE,
+            write_within=WRITE_WITHIN,
+            linger=LINGER,
+        )
+        self.boxes = BoxBounds(
+            connect_within=terms.connect_within,
+            link_idle=max(IDLE_MARGIN, terms.link_idle - IDLE_MARGIN),
+            links=LINKS,
+            links_all=int(sockets * BOXES_PART),
+            answer_kept=BODY_MOST,
+        )
+
+    # Clients
+
+    def own_answer(self, head: Head) -> Answer | None:
+        if head.target.partition("?")[0] != WELL:
+            return None
+        if head.method != "GET":
+            raise Fault(400, "not the method of this path")
+        return Answer(COMPLETED, [], b"ok\n", b"OK")
+
+    def admit(self, head: Head) -> Admission:
+        name = head.only("request-class")
+        route = self.grounds.routes.get(name or "")
+        if route is None or head.target.partition("?")[0].split("/")[1:2] != [name]:
+            raise Fault(404, "no such route")
+        if METHODS.get(route.repeats, head.method) != head.method:
+            raise Fault(400, "not the method of this route")
+        mark = head.only("request-id")
+        if mark is None or len(mark) > MARK_MOST or not REQ_ID.fullmatch(mark):
+            raise Fault(400, "no id, or more than one")
+        told = head.only("request-timeout-ms")
+        if told is None or not told.isdecimal() or not told.isascii() or len(told) > PATIENCE_MOST:
+            raise Fault(400, "patience is no number")
+        patience = min(int(told) / 1000, self.timeouts[route.name])
+        if patience <= 0:
+            raise Fault(400, "no patience")
+        key = head.get("affinity-key")
+        return Admission(
+            route=route.name,
+            key=key[:KEY_MOST] if key else None,
+            patience=patience - ANSWER_MARGIN,
+            mark=mark,
+        )
+
+    def claim(self, admission: Admission) -> None:
+        if not self.marks.claim(admission.mark):
+            raise Fault(400, "an id that was there before")
+
+    def ended(self, exchange: Exchange) -> None:
+        self.marks.open.discard(exchange.mark)
+
+    def passed_back(self, answer: Answer) -> Headers:
+        return answer.headers if answer.word == b"shed" else []
+
+    def shed(self, retry_after: float) -> Answer:
+        headers = [(b"retry-after", b"%.3f" % retry_after)] if self.retry_after and retry_after > 0 else []
+        return Answer(503, headers, b"shed\n", b"Service Unavailable", b"shed")
+
+    def errored(self, status: int) -> Answer:
+        return error_answer(status)
+
+    # Boxes
+
+    def address(self, box: str) -> str:
+        return self.addresses[box]
+
+    def onward(self, exchange: Exchange, patience: float) -> Headers:
+        kept = [pair for pair in exchange.head.headers if pair[0] in (b"host", b"request-class")]
+        kept.append((b"request-id", exchange.mark.encode()))
+        kept.append((b"request-timeout-ms", b"%d" % max(1, round(patience * 1000))))
+        return kept
+
+    def outcome(self, ending: Ending, answer: Answer | None) -> Outcome:
+        if ending is not Ending.ANSWERED or answer is None:
+            return OUTCOMES[ending]
+        if answer.status == COMPLETED:
+            return Outcome.COMPLETED
+        marked = (NOT_STARTED, b"1") in answer.headers
+        return Outcome.FULL if answer.status in NOT_TAKEN and marked else Outcome.ERROR
--- a/gullmount/umpire/__init__.py
+++ b/gullmount/umpire/__init__.py
@@ -1,10 +1,29 @@
 """One umpire on a network: takes HTTP reqs, feeds the decision module and does what it asks.
 
 Use it as a library: `async with RunningUmpire(terms, net=..., seed=...)`. Two in one process share nothing.
+The names are loaded when they are first used: the platform's entrance has no room for what reads YAML.
 """
 
-from gullmount.umpire.running import Memory, NoMemory, RunningUmpire
-from gullmount.umpire.store import FileMemory
-from gullmount.umpire.terms import UmpireTerms
+from importlib import import_module
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from gullmount.umpire.running import Memory, NoMemory, RunningUmpire
+    from gullmount.umpire.store import FileMemory
+    from gullmount.umpire.terms import UmpireTerms
+
+HOMES = {
+    "Memory": "running",
+    "NoMemory": "running",
+    "RunningUmpire": "running",
+    "FileMemory": "store",
+    "UmpireTerms": "terms",
+}
 
 __all__ = ["FileMemory", "Memory", "NoMemory", "RunningUmpire", "UmpireTerms"]
+
+
+def __getattr__(name: str) -> Any:
+    if name not in HOMES:
+        raise AttributeError(name)
+    return getattr(import_module(f"gullmount.umpire.{HOMES[name]}"), name)
--- a/gullmount/umpire/control.py
+++ b/gullmount/umpire/control.py
@@ -17,6 +17,7 @@
 from gullmount.interface import BoxState, Listed, ListKind, Phase, Verdict
 from gullmount.net import BROKEN, Datagrams, Net
 from gullmount.umpire.host import SocketHost
+from gullmount.umpire.terms import LauncherTerms
 
 VERSION = 1  # of all messages here; others are dropped
 LINE_MOST = 4 << 20  # bytes of one line: a list of some ten thousand boxes
@@ -216,11 +217,15 @@
     """Watches the list of boxes."""
 
     def __init__(
-        self, host: SocketHost, net: Net, on_list: Callable[[list[dict[str, Any]], bool], None]
+        self,
+        host: SocketHost,
+        net: Net,
+        address: str,
+        on_list: Callable[[list[dict[str, Any]], bool], None],
     ) -> None:
         self.host = host
         self.net = net
-        self.terms = host.terms.roster
+        self.address = address
         self.starts = Starts()
         self.index = 0
         self.watching = False
@@ -252,8 +257,8 @@
         """Whether anything was told before it broke."""
         told = False
         try:
-            target = f"/v1/roster?after={self.index}&umpire={self.host.terms.number}"
-            async for line in watch_lines(self.net, self.terms.address, target):
+            target = f"/v1/roster?after={self.index}&umpire={self.host.number}"
+            async for line in watch_lines(self.net, self.address, target):
                 self.hear(line)
                 told = True
         except Refused as fault:
@@ -282,17 +287,23 @@
 class Launcher:
     """Hears news of builds and tallies, and carries votes."""
 
-    def __init__(self, host: SocketHost, net: Net, on_news: Callable[[dict[str, Any]], None]) -> None:
+    def __init__(
+        self,
+        host: SocketHost,
+        net: Net,
+        terms: LauncherTerms,
+        on_news: Callable[[dict[str, Any]], None],
+    ) -> None:
         self.host = host
         self.net = net
-        self.terms = host.terms.launcher
+        self.terms = terms
         self.on_news = on_news
 
     async def watch(self) -> None:
         wait = AGAIN
         while True:
             try:
-                target = f"/v1/news?umpire={self.host.terms.number}"
+                target = f"/v1/news?umpire={self.host.number}"
                 async for line in watch_lines(self.net, self.terms.address, target):
                     wait = AGAIN
                     try:
@@ -332,7 +343,7 @@
         """One vote; whatever is no good answer is told as such."""
         message = {
             "v": VERSION,
-            "umpire": self.host.terms.number,
+            "umpire": self.host.number,
             "build": build,
             "stage": stage,
             "verdict": verdict.value,
@@ -388,7 +399,7 @@
             self.host.tasks.start_soon(self.pass_on, peer, fields)
 
     async def pass_on(self, peer: int, fields: dict[str, Any]) -> None:
-        message = {"v": VERSION, "from": self.host.terms.number, **fields}
+        message = {"v": VERSION, "from": self.host.number, **fields}
         try:
             await self.datagrams.send(msgspec.json.encode(message), self.addresses[peer])
         except BROKEN as fault:
--- /dev/null
+++ b/gullmount/umpire/doors.py
@@ -0,0 +1,71 @@
+"""Where client connections come in: how many are held, which go when there are too many, and the end of
+taking."""
+
+from __future__ import annotations
+
+import anyio
+from anyio.abc import TaskGroup
+
+from gullmount.net import Net, Stream
+from gullmount.umpire.front import Front
+from gullmount.umpire.host import SocketHost
+
+LOOK_EVERY = 0.01  # s between looks whether the last answers have left, at a stop
+
+
+class Doors:
+    """Lives as long as the instance."""
+
+    def __init__(self, host: SocketHost, net: Net, tasks: TaskGroup) -> None:
+        self.host = host
+        self.net = net
+        self.tasks = tasks
+        self.fronts: dict[Front, None] = {}  # the oldest first
+        self.taking = anyio.CancelScope()
+        self.listening = anyio.Event()
+
+    async def listen(self, address: str) -> None:
+        with self.taking:
+            await self.net.serve(address, self.accepted, self.listening)
+
+    async def accepted(self, stream: Stream) -> None:
+        self.tasks.start_soon(self.converse, stream)
+
+    async def converse(self, stream: Stream) -> None:
+        bounds = self.host.entrance.clients
+        if len(self.fronts) >= bounds.connections and bounds.makes_room:
+            self.make_room()
+        if len(self.fronts) >= bounds.connections or self.host.closed:
+            await anyio.aclose_forcefully(stream)
+            return
+        front = Front(self.host, stream)
+        self.fronts[front] = None
+        try:
+            await front.run()
+        finally:
+            del self.fronts[front]
+
+    def make_room(self) -> None:
+        """Close the connection that has been of no use for longest.
+
+        Guards against clients that connect by the hundred and say nothing: the newcomer may be one that
+        asks. Those that never asked go first.
+        """
+        idle = [front for front in self.fronts if front.idle and not front.busy]
+        if idle:
+            min(idle, key=lambda front: (front.taken > 0, front.idle_since)).close()
+
+    async def stop(self, after: float = 0.0) -> None:
+        """Take nothing more, `after` seconds from now, and wait until all that was taken has its answer."""
+        self.host.write_log("stopping", open=len(self.host.exchanges))
+        self.host.stopping = True
+        await anyio.sleep(after)
+        self.host.closed = True
+        self.taking.cancel()
+        if after:
+            for front in [front for front in self.fronts if front.idle and not front.busy]:
+                front.close()
+        await self.host.settled()
+        while any(front.busy for front in self.fronts):  # bounded by the time a write may take
+            await anyio.sleep(LOOK_EVERY)
+        self.host.write_log("stopped")
--- a/gullmount/umpire/exchange.py
+++ b/gullmount/umpire/exchange.py
@@ -20,8 +20,9 @@
 class Exchange:
     """Holds the one final answer. `settle` takes the first one given; later ones change nothing."""
 
-    def __init__(self, req_id: str, head: Head, body: bytes, give_up: float) -> None:
+    def __init__(self, req_id: str, head: Head, body: bytes, give_up: float, mark: str = "") -> None:
         self.id = req_id
+        self.mark = mark  # by which its client names it, where that counts
         self.head = head
         self.body = body
         self.rest: Callable[[], AsyncIterator[bytes]] | None = None  # what follows `body`, to be read once
--- a/gullmount/umpire/front.py
+++ b/gullmount/umpire/front.py
@@ -10,14 +10,13 @@
 
 from gullmount.net import BROKEN, Stream
 from gullmount.umpire.exchange import Exchange
-from gullmount.umpire.messages import OURS, Answer, Head, Headers, passed_on
+from gullmount.umpire.messages import Answer, Head, Headers
 from gullmount.umpire.pump import Pump
 from gullmount.umpire.wire import BODYLESS, LAST_CHUNK, End, Fault, Part, ReqReader, answer_head, chunk
 
 if TYPE_CHECKING:
     from gullmount.umpire.host import SocketHost
 
-LINGER = 1.0  # s in which what a client still sends is read after a last answer, lest a reset overtake it
 LINGER_MOST = 1 << 20  # bytes of it
 GO_ON = b"HTTP/1.1 100 Continue\r\n\r\n"
 REFUSALS = {
@@ -39,23 +38,31 @@
 
     def __init__(self, host: SocketHost, stream: Stream) -> None:
         self.host = host
-        self.terms = host.terms.clients
+        self.bounds = host.entrance.clients
         self.stream = stream
         self.pump = Pump(stream)
         self.pump.on_end = self.ended
-        self.reader = ReqReader(self.terms.head_most)
+        self.reader = ReqReader(self.bounds.head_most)
         self.exchange: Exchange | None = None
         self.busy = False  # from a req's taking until its answer has left
         self.idle = True  # between reqs
+        self.idle_since = host.now()
+        self.taken = 0  # reqs
+        self.scope = anyio.CancelScope()
         self.whole = True  # whether the req under way was read to its end
 
     def ended(self) -> None:
         if self.exchange is not None:
             self.exchange.leave()
 
+    def close(self) -> None:
+        """End the connection, which must be idle."""
+        self.scope.cancel()
+
     async def run(self) -> None:
         try:
             async with anyio.create_task_group() as tasks:
+                self.scope = tasks.cancel_scope
                 tasks.start_soon(self.pump.run)
                 try:
                     await self.converse()
@@ -76,6 +83,8 @@
             except Fault as unfit:
                 await self.refuse(unfit)
                 return
+            if exchange is None:
+                continue
             await exchange.done.wait()
             self.exchange = None
             if exchange.left:
@@ -109,10 +118,13 @@
                     return reader.parts.popleft()
         raise Fault(408, "too slow") if not self.idle else Gone
 
-    async def take(self) -> Exchange:
-        """Read the next req and hand it to the module; raises Fault or Gone."""
+    async def take(self) -> Exchange | None:
+        """Read the next req and hand it to the module, or answer what is for the umpire itself; raises Fault
+        or Gone."""
         self.idle = not self.reader.parts
-        head = await self.part(self.terms.idle)
+        self.idle_since = self.host.now()
+        within = self.bounds.idle if self.taken else min(self.bounds.idle, self.bounds.first_within)
+        head = await self.part(within)
         arrived = self.host.now()
         self.idle = self.whole = False
         if not isinstance(head, Head):
@@ -120,26 +132,30 @@
         if head.method in ("CONNECT", "TRACE"):
             raise Fault(501, "method is not passed on")
         told = head.get("content-length")
-        if told is not None and int(told) > self.terms.body_most:
+        if told is not None and int(told) > self.bounds.body_most:
             raise Fault(413, "body too large")
-        route = self.host.route_of(head)
-        if route is None:
-            raise Fault(404, "no route for this method and path")
+        own = self.host.entrance.own_answer(head)
+        if own is not None:
+            await self.body_kept()
+            await self.write(self.whole_answer(own, own.headers))
+            return None
+        admission = self.host.entrance.admit(head)
         body = await self.body_kept()
-        exchange = self.host.exchange(head, body, arrived, route)
+        exchange = self.host.exchange(head, body, arrived, admission)
         if not self.whole:
             exchange.rest = self.rest
+        self.host.take(exchange, admission, once=not self.whole)
         self.exchange = exchange
         self.busy = True
-        self.host.take(exchange, route, once=not self.whole)
+        self.taken += 1
         return exchange
 
     async def body_kept(self) -> bytes:
         """The body up to the size that is kept; `whole` says whether that is all of it."""
         parts: list[bytes] = []
         size = 0
-        while size <= self.terms.body_kept:
-            part = await self.part(self.terms.read_within)
+        while size <= self.bounds.body_kept:
+            part = await self.part(self.bounds.read_within)
             if not isinstance(part, bytes):
                 self.whole = True
                 break
@@ -149,17 +165,17 @@
 
     async def rest(self) -> AsyncIterator[bytes]:
         """What follows the kept part of a body. A client that breaks off here has left."""
-        size = self.terms.body_kept
+        size = self.bounds.body_kept
         while True:
             try:
-                part = await self.part(self.terms.read_within)
+                part = await self.part(self.bounds.read_within)
             except (Fault, Gone):
                 part = None
             if isinstance(part, End):
                 self.whole = True
                 return
             size += len(part) if isinstance(part, bytes) else 0
-            if not isinstance(part, bytes) or size > self.terms.body_most:
+            if not isinstance(part, bytes) or size > self.bounds.body_most:
                 self.ended()
                 await anyio.sleep_forever()  # the try is being cancelled
             else:
@@ -169,7 +185,7 @@
 
     async def write(self, data: bytes | None) -> None:
         if data:
-            with anyio.fail_after(self.terms.write_within):
+            with anyio.fail_after(self.bounds.write_within):
                 await self.stream.send(data)
 
     async def refuse(self, unfit: Fault) -> None:
@@ -189,18 +205,21 @@
         answer = exchange.answer
         assert answer is not None
         bodyless = exchange.head.method == "HEAD" or answer.status in BODYLESS
-        headers = passed_on(answer.headers)
-        headers.append((OURS, answer.word))
+        headers = self.host.entrance.passed_back(answer)
         if self.host.stopping or not self.whole or not self.reader.keep:
             headers.append((b"connection", b"close"))
         if exchange.passing is not None:
             await self.pass_on(exchange, answer, headers)
             return
-        if not bodyless:
-            headers = [pair for pair in headers if pair[0] != b"content-length"]
-            headers.append((b"content-length", b"%d" % len(answer.body)))
-        out = answer_head(answer.status, answer.reason, headers)
-        await self.write(out if bodyless else out + answer.body)
+        if bodyless:
+            await self.write(answer_head(answer.status, answer.reason, headers))
+        else:
+            await self.write(self.whole_answer(answer, headers))
+
+    def whole_answer(self, answer: Answer, headers: Headers) -> bytes:
+        framed = [pair for pair in headers if pair[0] != b"content-length"]
+        framed.append((b"content-length", b"%d" % len(answer.body)))
+        return answer_head(answer.status, answer.reason, framed) + answer.body
 
     async def pass_on(self, exchange: Exchange, answer: Answer, headers: Headers) -> None:
         """A begun answer: what breaks off here must be seen to have broken off."""
@@ -219,7 +238,7 @@
 
     async def linger(self) -> None:
         """Say that no more will come, and read what the client still sends, bounded."""
-        with anyio.move_on_after(LINGER):
+        with anyio.move_on_after(self.bounds.linger):
             await self.stream.send_eof()
             read = 0
             while read < LINGER_MOST and (data := await self.pump.receive()):
--- a/gullmount/umpire/host.py
+++ b/gullmount/umpire/host.py
@@ -11,16 +11,17 @@
 from anyio.abc import TaskGroup
 
 from gullmount.blame import Finding
-from gullmount.interface import Outcome, Verdict
+from gullmount.interface import Grounds, Outcome, Verdict
 from gullmount.net import Net
 from gullmount.policy import Umpire
 from gullmount.state import Req
+from gullmount.umpire.entrance import Admission, Entrance
 from gullmount.umpire.exchange import Exchange
-from gullmount.umpire.messages import Head, error_answer, key_of, patience_of, shed_answer
-from gullmount.umpire.outcomes import Ending, outcome_of
-from gullmount.umpire.terms import ONCE, RouteTerms, UmpireTerms
+from gullmount.umpire.messages import Head
+from gullmount.umpire.outcomes import Ending
 from gullmount.umpire.upstream import Upstream
 
+BAD_GATEWAY, GATEWAY_TIMEOUT = 502, 504  # statuses that a req is errored with: HTTP's own words
 LONG_AGO = 1e6  # s added to the clock, so that a box of which no start is told is older than any warm-up
 
 Log = Callable[..., None]
@@ -37,24 +38,25 @@
     """Implements `gullmount.interface.Host`; lives as long as the instance."""
 
     def __init__(
-        self, terms: UmpireTerms, net: Net, tasks: TaskGroup, seed: int, restarted: bool, log: Log
+        self, entrance: Entrance, grounds: Grounds, net: Net, tasks: TaskGroup, log: Log
     ) -> None:
-        self.terms = terms
+        self.entrance = entrance
         self.tasks = tasks
         self.write_log = log
-        self.random = Random(seed)  # of the host: only waits before asking again
-        self.stopping = False
+        self.number = grounds.number
+        self.random = Random(grounds.seed)  # of the host: only waits before asking again
+        self.stopping = False  # answers end their connections
+        self.closed = False  # nothing more is taken
         self.exchanges: dict[str, Exchange] = {}
         self.emptied = anyio.Event()
         self.count = 0
-        self.routes = [(route, route.match.pattern()) for route in terms.routes]
-        self.upstream = Upstream(terms.boxes, net, tasks, terms.number)
+        self.upstream = Upstream(entrance, net, tasks)
         self.on_vote: Votes | None = None
         self.on_tell: Tells | None = None
         self.on_subscribe: Callable[[], None] | None = None
         self.wants_list = False  # asked for before there was anyone to ask
-        self.prefix = f"{terms.number}-{self.random.getrandbits(32):08x}"
-        self.umpire = Umpire(self, terms.grounds(seed, restarted))
+        self.prefix = f"{grounds.number}-{self.random.getrandbits(32):08x}"
+        self.umpire = Umpire(self, grounds)
         if self.umpire.inquest is not None:
             self.umpire.inquest.on_finding = self.log_finding
 
@@ -71,11 +73,11 @@
         self.tasks.start_soon(self.carry, exchange, number, box, patience)
 
     def shed(self, req: str, retry_after: float) -> None:
-        self.exchanges[req].settle(shed_answer(retry_after))
+        self.exchanges[req].settle(self.entrance.shed(retry_after))
 
     def error(self, req: str) -> None:
         exchange = self.exchanges[req]
-        exchange.settle(exchange.failure or error_answer(502))
+        exchange.settle(exchange.failure or self.entrance.errored(BAD_GATEWAY))
 
     def call_after(self, delay: float, callback: Callable[[], None]) -> None:
         self.tasks.start_soon(self.wait_and_call, delay, callback)
@@ -103,34 +105,19 @@
 
     # Reqs
 
-    def route_of(self, head: Head) -> RouteTerms | None:
-        """The first route whose method, path and headers the req matches."""
-        for route, pattern in self.routes:
-            match = route.match
-            if match.method and head.method not in match.method:
-                continue
-            if not pattern.fullmatch(head.target):
-                continue
-            if all(head.get(name) == value for name, value in match.headers.items()):
-                return route
-        return None
-
-    def exchange(self, head: Head, body: bytes, arrived: float, route: RouteTerms) -> Exchange:
-        clients = self.terms.clients
-        patience = patience_of(head, clients.patience_header, route.timeout)
+    def exchange(self, head: Head, body: bytes, arrived: float, admission: Admission) -> Exchange:
         self.count += 1
-        made = Exchange(f"{self.prefix}-{self.count}", head, body, arrived + patience - clients.margin)
-        made.stream = route.stream
+        give_up = arrived + admission.patience
+        made = Exchange(f"{self.prefix}-{self.count}", head, body, give_up, admission.mark)
+        made.stream = admission.stream
         return made
 
-    def take(self, exchange: Exchange, route: RouteTerms, once: bool) -> None:
-        """Give the req to the module: as one that goes out once only if its body or its mark is missing."""
-        unmarked = route.dedupe_mark is not None and exchange.head.get(route.dedupe_mark) is None
-        name = route.name + ONCE if once or unmarked else route.name
+    def take(self, exchange: Exchange, admission: Admission, once: bool) -> None:
+        """Give the req to the module; `once` if its body cannot be sent twice. Raises Fault."""
+        self.entrance.claim(admission)
+        name = admission.once if once else admission.route
         self.exchanges[exchange.id] = exchange
-        exchange.req = req = self.umpire.take(
-            exchange.id, name, exchange.give_up, key_of(exchange.head, self.terms.key)
-        )
+        exchange.req = req = self.umpire.take(exchange.id, name, exchange.give_up, admission.key)
         if exchange.settled and not req.open_tries:
             self.drop(exchange)
 
@@ -138,8 +125,7 @@
         """One upstream try, from its first byte to the module's hearing of its end."""
         sent = self.now()
         ending, answer = await self.upstream.attempt(exchange, number, box, patience)
-        not_begun = answer is not None and self.upstream.not_begun(answer.headers)
-        outcome = outcome_of(ending, answer.status if answer else 0, not_begun)
+        outcome = self.entrance.outcome(ending, answer)
         exchange.open -= 1
         if outcome is Outcome.COMPLETED and answer is not None:
             exchange.settle(answer)
@@ -147,7 +133,7 @@
             answer.word = b"errored"
             exchange.failure = answer
         elif outcome is Outcome.TIMEOUT:
-            exchange.failure = error_answer(504)
+            exchange.failure = self.entrance.errored(GATEWAY_TIMEOUT)
         req = exchange.req
         assert isinstance(req, Req)
         req.ended(number, outcome, self.now() - sent, exchange.settled)
@@ -155,7 +141,8 @@
             self.drop(exchange)
 
     def drop(self, exchange: Exchange) -> None:
-        self.exchanges.pop(exchange.id, None)
+        if self.exchanges.pop(exchange.id, None) is not None:
+            self.entrance.ended(exchange)
         if not self.exchanges:
             self.emptied.set()
 
--- a/gullmount/umpire/messages.py
+++ b/gullmount/umpire/messages.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
+from typing import TYPE_CHECKING
 from urllib.parse import unquote
 
-from gullmount.umpire.terms import KeyTerms
+if TYPE_CHECKING:
+    from gullmount.umpire.terms import KeyTerms
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -43,6 +45,12 @@
         wanted = name.encode()
         return next((value.decode("latin-1") for field, value in self.headers if field == wanted), None)
 
+    def only(self, name: str) -> str | None:
+        """The header's value where it stands there once, else None."""
+        wanted = name.encode()
+        values = [value for field, value in self.headers if field == wanted]
+        return values[0].decode("latin-1") if len(values) == 1 else None
+
 
 class Answer:
     """An answer of a box, or one of our own; `word` is completed, shed or errored."""
--- a/gullmount/umpire/running.py
+++ b/gullmount/umpire/running.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from contextlib import AsyncExitStack
 from types import TracebackType
 from typing import Any, Protocol, Self
@@ -13,13 +13,14 @@
 import msgspec
 
 from gullmount.interface import ListKind
-from gullmount.net import Net, Stream
+from gullmount.net import Net
 from gullmount.umpire.control import VERSION, Launcher, NotUnderstood, Peers, Roster, check, decode
+from gullmount.umpire.doors import Doors
 from gullmount.umpire.front import Front
+from gullmount.umpire.general import GeneralEntrance
 from gullmount.umpire.host import SocketHost
 from gullmount.umpire.terms import UmpireTerms
 
-LOOK_EVERY = 0.01  # s between looks whether the last answers have left, at a stop
 NEWS_KEPT = 3  # newest builds whose state is remembered: two trials and what was released last
 SAVE_EVERY = 0.1  # s between writes of what is remembered: a list that changes more often is written less
 
@@ -68,24 +69,21 @@
         self.memory = memory or NoMemory()
         self.wall = wall
         self.log = log
-        self.listening = anyio.Event()
         self.remembered: dict[str, dict[str, Any]] = {}
         self.last_news: dict[int, dict[str, Any]] = {}
         self.to_save = anyio.Event()
         self.known_boxes = anyio.Event()
         self.known_build = anyio.Event()
-        self.fronts: set[Front] = set()
 
     async def __aenter__(self) -> Self:
         async with AsyncExitStack() as stack:
             self.tasks = await stack.enter_async_context(anyio.create_task_group())
-            self.taking = anyio.CancelScope()
             remembered = self.recall()
-            self.host = SocketHost(
-                self.terms, self.net, self.tasks, self.seed, remembered is not None, self.log
-            )
-            self.roster = Roster(self.host, self.net, self.note_list)
-            self.launcher = Launcher(self.host, self.net, self.note_news)
+            grounds = self.terms.grounds(self.seed, remembered is not None)
+            self.host = SocketHost(GeneralEntrance(self.terms), grounds, self.net, self.tasks, self.log)
+            self.doors = Doors(self.host, self.net, self.tasks)
+            self.roster = Roster(self.host, self.net, self.terms.roster.address, self.note_list)
+            self.launcher = Launcher(self.host, self.net, self.terms.launcher, self.note_news)
             self.host.on_vote = self.launcher.vote
             self.host.on_subscribe = self.roster.ask
             if remembered is not None:
@@ -117,13 +115,7 @@
 
     async def stop(self) -> None:
         """Take nothing more and wait until all that was taken has its answer."""
-        self.log("stopping", open=len(self.host.exchanges))
-        self.host.stopping = True
-        self.taking.cancel()
-        await self.host.settled()
-        while any(front.busy for front in self.fronts):  # bounded by the time a write may take
-            await anyio.sleep(LOOK_EVERY)
-        self.log("stopped")
+        await self.doors.stop()
 
     # Clients
 
@@ -131,22 +123,15 @@
         await self.known_boxes.wait()
         await self.known_build.wait()
         self.log("listening", address=self.terms.listen)
-        with self.taking:
-            await self.net.serve(self.terms.listen, self.accepted, self.listening)
-
-    async def accepted(self, stream: Stream) -> None:
-        self.tasks.start_soon(self.converse, stream)
-
-    async def converse(self, stream: Stream) -> None:
-        if len(self.fronts) >= self.terms.clients.connections or self.host.stopping:
-            await anyio.aclose_forcefully(stream)
-            return
-        front = Front(self.host, stream)
-        self.fronts.add(front)
-        try:
-            await front.run()
-        finally:
-            self.fronts.discard(front)
+        await self.doors.listen(self.terms.listen)
+
+    @property
+    def listening(self) -> anyio.Event:
+        return self.doors.listening
+
+    @property
+    def fronts(self) -> Collection[Front]:
+        return self.doors.fronts
 
     # What outlives the process
 
--- a/gullmount/umpire/upstream.py
+++ b/gullmount/umpire/upstream.py
@@ -7,11 +7,11 @@
 from anyio.abc import TaskGroup
 
 from gullmount.net import BROKEN, Net, Stream
+from gullmount.umpire.entrance import Entrance
 from gullmount.umpire.exchange import Exchange
-from gullmount.umpire.messages import Answer, Headers, passed_on
+from gullmount.umpire.messages import Answer
 from gullmount.umpire.outcomes import Ending
 from gullmount.umpire.pump import Pump
-from gullmount.umpire.terms import BoxTerms
 from gullmount.umpire.wire import (
     END,
     INFORMATIONAL,
@@ -33,8 +33,9 @@
 class Link:
     """One connection to a box."""
 
-    def __init__(self, stream: Stream, now: float) -> None:
+    def __init__(self, stream: Stream, pool: Pool, now: float) -> None:
         self.stream = stream
+        self.pool = pool
         self.pump = Pump(stream)
         self.reader = AnswerReader(HEAD_MOST, "GET")
         self.written = False  # whether the req under way was written to its end
@@ -59,11 +60,12 @@
         self.idle: list[Link] = []
         self.open = 0
 
-    def take(self) -> Link | None:
-        """An idle connection whose end has not been seen; the newest, so that the others can go."""
+    def take(self, since: float) -> Link | None:
+        """An idle connection whose end has not been seen; the newest, so that the others can go. One that is
+        idle since longer may be closed by the box while the req is on its way."""
         while self.idle:
             link = self.idle.pop()
-            if not link.pump.ended and not link.pump.chunks:
+            if not link.pump.ended and not link.pump.chunks and link.idle_since > since:
                 return link
             link.close()
         return None
@@ -81,35 +83,38 @@
 class Upstream:
     """All connections of one umpire."""
 
-    def __init__(self, terms: BoxTerms, net: Net, tasks: TaskGroup, number: int) -> None:
-        self.terms = terms
+    def __init__(self, entrance: Entrance, net: Net, tasks: TaskGroup) -> None:
+        self.entrance = entrance
+        self.bounds = entrance.boxes
         self.net = net
         self.tasks = tasks
-        self.mark = [(b"gullmount-umpire", b"%d" % number)]
         self.pools: dict[str, Pool] = {}
-        self.dropped_mark = terms.not_begun_header.encode()
+        self.open = 0
 
     # Connections
 
     async def link_to(self, box: str) -> Link | Ending:
         pool = self.pools.setdefault(box, Pool())
-        link = pool.take()
+        link = pool.take(anyio.current_time() - self.bounds.link_idle)
         if link is not None:
             return link
-        if pool.open >= self.terms.links:
+        if self.open >= self.bounds.links_all:
+            self.close_oldest()
+        if pool.open >= self.bounds.links or self.open >= self.bounds.links_all:
             return Ending.NO_LINK_FREE
         pool.open += 1
+        self.open += 1
         try:
-            with anyio.fail_after(self.terms.connect_within):
-                stream = await self.net.connect(box)
+            with anyio.fail_after(self.bounds.connect_within):
+                stream = await self.net.connect(self.entrance.address(box))
         except BaseException as fault:
             self.lost(box, pool)
             if isinstance(fault, TimeoutError):
                 return Ending.CONNECT_LATE
-            if isinstance(fault, OSError):
+            if isinstance(fault, OSError | LookupError):
                 return Ending.CONNECT_REFUSED
             raise
-        link = Link(stream, anyio.current_time())
+        link = Link(stream, pool, anyio.current_time())
         self.tasks.start_soon(self.keep, box, pool, link)
         return link
 
@@ -123,15 +128,17 @@
 
     def lost(self, box: str, pool: Pool) -> None:
         pool.open -= 1
+        self.open -= 1
         if pool.open == 0 and self.pools.get(box) is pool:
             del self.pools[box]
 
     def give_back(self, box: str, link: Link) -> None:
         """Keep the connection for later if the protocol allows it."""
-        clean = not link.pump.ended and not link.pump.chunks and not link.reader.parts
+        current = self.pools.get(box) is link.pool
+        clean = current and not link.pump.ended and not link.pump.chunks and not link.reader.parts
         if link.written and link.reader.keep and link.reader.fault is None and clean:
             link.idle_since = anyio.current_time()
-            self.pools[box].idle.append(link)
+            link.pool.idle.append(link)
         else:
             link.close()
 
@@ -139,15 +146,23 @@
         """Close what has been idle for the told time."""
         while True:
             await anyio.sleep(SWEEP)
-            since = anyio.current_time() - self.terms.link_idle
+            since = anyio.current_time() - self.bounds.link_idle
             for pool in list(self.pools.values()):
                 for link in [link for link in pool.idle if link.idle_since < since]:
                     pool.idle.remove(link)
                     link.close()
 
+    def close_oldest(self) -> None:
+        """Make room for a connection that is needed by closing the one that has been idle for longest."""
+        idle = [(link.idle_since, pool, link) for pool in self.pools.values() for link in pool.idle]
+        if idle:
+            _, pool, link = min(idle, key=lambda entry: entry[0])
+            pool.idle.remove(link)
+            link.close()
+
     def forget(self, box: str) -> None:
-        """The box is gone: its idle connections are of no use."""
-        pool = self.pools.get(box)
+        """The box is gone, or another process stands in its place: its connections are of no more use."""
+        pool = self.pools.pop(box, None)
         if pool is not None:
             for link in pool.idle:
                 link.close()
@@ -167,7 +182,7 @@
                 return Ending.CLIENT_LEFT, None
             if exchange.spent:
                 return Ending.BODY_SPENT, None
-            await self.carry(exchange, number, box, progress)
+            await self.carry(exchange, number, box, patience, progress)
         del exchange.scopes[number]
         if progress.ending is None:  # the scope ended it before the answer's last byte was read
             if exchange.left:
@@ -175,7 +190,9 @@
             return Ending.PATIENCE_UNANSWERED if progress.handed else Ending.PATIENCE_CONNECTING, None
         return progress.ending, progress.answer
 
-    async def carry(self, exchange: Exchange, number: int, box: str, progress: Progress) -> None:
+    async def carry(
+        self, exchange: Exchange, number: int, box: str, patience: float, progress: Progress
+    ) -> None:
         link = await self.link_to(box)
         if isinstance(link, Ending):
             progress.ending = link
@@ -183,7 +200,7 @@
         whole = False
         try:
             try:
-                await self.write(exchange, link, box, progress)
+                await self.write(exchange, link, box, patience, progress)
             except BROKEN:
                 progress.ending = Ending.WRITE_BROKE if progress.handed else Ending.CONNECT_REFUSED
                 return
@@ -200,11 +217,14 @@
             else:
                 link.close()
 
-    async def write(self, exchange: Exchange, link: Link, box: str, progress: Progress) -> None:
+    async def write(
+        self, exchange: Exchange, link: Link, box: str, patience: float, progress: Progress
+    ) -> None:
         head = exchange.head
         link.reader, link.written = AnswerReader(HEAD_MOST, head.method), False
         chunked = False
-        headers = [pair for pair in passed_on(head.headers) if pair[0] != b"content-length"] + self.mark
+        onward = self.entrance.onward(exchange, patience)
+        headers = [pair for pair in onward if pair[0] != b"content-length"]
         if not any(name == b"host" for name, _ in headers):
             headers.append((b"host", box.encode()))
         framed = head.get("content-length"), head.get("transfer-encoding")
@@ -254,7 +274,7 @@
         progress.answer = answer
         parts: list[bytes] = []
         kept = 0
-        most = 0 if exchange.stream and answer.status < 500 else self.terms.answer_kept  # noqa: PLR2004
+        most = 0 if exchange.stream and answer.status < 500 else self.bounds.answer_kept  # noqa: PLR2004
         if most == 0 and not exchange.settled:
             return await self.pass_on(exchange, number, link, answer, b"")
         while True:
@@ -292,7 +312,3 @@
                     return Ending.BROKE_IN_BODY
                 data = part
         return Ending.BROKE_IN_BODY
-
-    def not_begun(self, headers: Headers) -> bool:
-        """Whether the box says that it did not begin the req."""
-        return any(name == self.dropped_mark for name, _ in headers)
--- a/gullmount/umpire/wire.py
+++ b/gullmount/umpire/wire.py
@@ -140,6 +140,11 @@
         self.until_end = False  # whether only the connection's end ends the answer
         self.keep = False
 
+    def on_message_begin(self) -> None:
+        if self.last:  # the first answer is good all the same: parts before a fault are taken first
+            self.fault = self.fault or Fault(502, "more than the one answer")
+        super().on_message_begin()
+
     def on_headers_complete(self) -> None:
         self.in_head, self.head_size = False, 0
         status = self.of_answers.get_status_code()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,6 +12,7 @@
 from gullmount.interface import BoxState, Listed, ListKind, Verdict
 from gullmount.net import MemoryNet, Stream, TcpNet
 from gullmount.umpire.control import PEER_MOST, Launcher, Peers
+from gullmount.umpire.general import GeneralEntrance
 from gullmount.umpire.host import SocketHost
 from tests.edge import terms
 
@@ -48,7 +49,9 @@
 
     async def scene() -> SocketHost:
         async with anyio.create_task_group() as tasks:
-            host = SocketHost(told, MemoryNet(), tasks, 1, False, lambda event, **fields: log.append(event))
+            grounds = told.grounds(1, False)
+            note = lambda event, **fields: log.append(event)  # noqa: E731
+            host = SocketHost(GeneralEntrance(told), grounds, MemoryNet(), tasks, note)
             host.umpire.listed(ListKind.FULL, [Listed("b1", "a", 0, 2, BoxState.READY, 1.0, 0.0)])
             peers = Peers(host, wire, PEERS)
             if isinstance(tell, list):
@@ -180,9 +183,10 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(net.serve, "l:1", answer)
             await anyio.sleep(0.01)
-            host = SocketHost(told, net, tasks, 1, False, lambda event, **fields: None)
+            grounds = told.grounds(1, False)
+            host = SocketHost(GeneralEntrance(told), grounds, net, tasks, lambda event, **fields: None)
             host.umpire.vote_failed = again.append  # type: ignore[method-assign,assignment]
-            await Launcher(host, net, lambda news: None).cast(3, 0, Verdict.BACK)
+            await Launcher(host, net, told.launcher, lambda news: None).cast(3, 0, Verdict.BACK)
             tasks.cancel_scope.cancel()
         return again
 
