--- a/gullmount/net/__init__.py
+++ b/gullmount/net/__init__.py
@@ -3,6 +3,6 @@
 
 from gullmount.net.memory import MemoryNet
 from gullmount.net.tcp import TcpNet
-from gullmount.net.types import BROKEN, Datagrams, Net, Stream, abort
+from gullmount.net.types import BROKEN, Conduit, Datagrams, Hearer, Net, Stream, abort
 
-__all__ = ["BROKEN", "Datagrams", "MemoryNet", "Net", "Stream", "TcpNet", "abort"]
+__all__ = ["BROKEN", "Conduit", "Datagrams", "Hearer", "MemoryNet", "Net", "Stream", "TcpNet", "abort"]
--- a/gullmount/net/memory.py
+++ b/gullmount/net/memory.py
@@ -10,7 +10,9 @@
 from typing import Any
 
 import anyio
-from anyio.abc import ByteStream
+from anyio.abc import ByteStream, TaskGroup
+
+from gullmount.net.types import BROKEN, Conduit, Hearer
 
 ROOM = 65536  # bytes one direction holds before a sender waits: a common socket buffer
 WAITING = 1024  # datagrams that wait unread; later ones are dropped, as a kernel does
@@ -108,6 +110,75 @@
     return MemoryStream(back, there, source), MemoryStream(there, back, source)
 
 
+class MemoryConduit:
+    """A memory stream by callbacks; `run` it in a task."""
+
+    def __init__(self, stream: MemoryStream) -> None:
+        self.stream = stream
+        self.hearer: Hearer | None = None
+        self.out: deque[bytes] = deque()
+        self.closing = False
+        self.paused = False
+        self.written = anyio.Event()
+        self.resumed = anyio.Event()
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.pass_on)
+            try:
+                while True:
+                    data = await self.stream.receive()
+                    while self.paused:
+                        self.resumed = anyio.Event()
+                        await self.resumed.wait()
+                    if self.hearer is not None:
+                        self.hearer.heard(data)
+            except BROKEN:
+                pass
+            tasks.cancel_scope.cancel()
+        hearer, self.hearer = self.hearer, None
+        if hearer is not None:
+            hearer.ended()
+
+    async def pass_on(self) -> None:
+        try:
+            while True:
+                while self.out:
+                    await self.stream.send(self.out[0])
+                    self.out.popleft()
+                if self.closing:
+                    await self.stream.aclose()
+                    return
+                self.written = anyio.Event()
+                await self.written.wait()
+        except BROKEN:
+            pass
+
+    @property
+    def held(self) -> int:
+        return sum(map(len, self.out))
+
+    def write(self, data: bytes) -> None:
+        self.out.append(data)
+        self.written.set()
+
+    def pause(self) -> None:
+        self.paused = True
+
+    def resume(self) -> None:
+        self.paused = False
+        self.resumed.set()
+
+    def close(self) -> None:
+        self.closing = True
+        self.written.set()
+
+    def abort(self) -> None:
+        self.out.clear()
+        self.stream.abort()
+        self.resume()
+
+
 class MemoryDatagrams:
     def __init__(self, net: MemoryNet, address: str) -> None:
         self.net = net
@@ -141,6 +212,7 @@
     def __init__(self) -> None:
         self.accepting: dict[str, Callable[[MemoryStream], None]] = {}
         self.sockets: dict[str, MemoryDatagrams] = {}
+        self.running: TaskGroup  # in which conduits run: given by who uses `dial`
 
     async def connect(self, address: str, source: str = "") -> MemoryStream:
         await anyio.lowlevel.checkpoint()
@@ -173,6 +245,28 @@
             finally:
                 del self.accepting[address]
 
+    async def dial(self, address: str, hearer: Hearer) -> Conduit:
+        conduit = MemoryConduit(await self.connect(address))
+        conduit.hearer = hearer
+        self.running.start_soon(conduit.run)
+        return conduit
+
+    async def welcome(
+        self,
+        address: str,
+        greet: Callable[[Conduit], Hearer | None],
+        started: anyio.Event | None = None,
+    ) -> None:
+        async def handle(stream: MemoryStream) -> None:
+            conduit = MemoryConduit(stream)
+            conduit.hearer = greet(conduit)
+            if conduit.hearer is None:
+                conduit.abort()
+            else:
+                await conduit.run()
+
+        await self.serve(address, handle, started)
+
     async def datagrams(self, address: str) -> MemoryDatagrams:
         if address in self.sockets:
             raise OSError(f"address in use: {address}")
--- a/gullmount/net/tcp.py
+++ b/gullmount/net/tcp.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, cast
 
 import anyio
 from anyio.abc import UDPSocket
 
-from gullmount.net.types import Datagrams, Stream, split
+from gullmount.net.types import Conduit, Datagrams, Hearer, Stream, split
 
 BACKLOG = 1024  # connections that wait to be accepted: a burst of new clients must not see a refusal
 
@@ -30,6 +31,63 @@
         await self.sock.aclose()
 
 
+class TcpConduit(asyncio.Protocol):
+    """One connection by asyncio's own callbacks: a task and its locks for each would cost more than a req."""
+
+    transport: asyncio.Transport
+
+    def __init__(
+        self, hearer: Hearer | None, greet: Callable[[Conduit], Hearer | None] | None = None
+    ) -> None:
+        self.hearer = hearer
+        self.greet = greet
+        self.over = False
+        self.never_left = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # by duty: uvloop's is no subclass
+        if self.greet is not None:
+            self.hearer = self.greet(self)
+            if self.hearer is None:
+                self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        if self.hearer is not None and not self.over:
+            self.hearer.heard(data)
+
+    def eof_received(self) -> bool:
+        return False  # half a connection is of no use to either side: it is closed
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.never_left = self.transport.get_write_buffer_size()
+        self.over = True
+        hearer, self.hearer = self.hearer, None
+        if hearer is not None:
+            hearer.ended()
+
+    @property
+    def held(self) -> int:
+        return self.never_left if self.over else self.transport.get_write_buffer_size()
+
+    def write(self, data: bytes) -> None:
+        if not self.over:
+            self.transport.write(data)
+
+    def pause(self) -> None:
+        if not self.over and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        if not self.over and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def close(self) -> None:
+        self.transport.close()
+
+    def abort(self) -> None:
+        self.transport.abort()
+
+
 class TcpNet:
     """`local_host` is the address that connections come from, where several parties share a machine."""
 
@@ -52,6 +110,29 @@
                 started.set()
             await listener.serve(handler)
 
+    async def dial(self, address: str, hearer: Hearer) -> Conduit:
+        host, port = split(address)
+        local = (self.local_host, 0) if self.local_host else None
+        loop = asyncio.get_running_loop()
+        _, conduit = await loop.create_connection(lambda: TcpConduit(hearer), host, port, local_addr=local)
+        return conduit
+
+    async def welcome(
+        self,
+        address: str,
+        greet: Callable[[Conduit], Hearer | None],
+        started: anyio.Event | None = None,
+    ) -> None:
+        host, port = split(address)
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(lambda: TcpConduit(None, greet), host, port, backlog=BACKLOG)
+        if started is not None:
+            started.set()
+        try:
+            await anyio.sleep_forever()
+        finally:
+            server.close()
+
     async def datagrams(self, address: str) -> Datagrams:
         host, port = split(address)
         return UdpDatagrams(await anyio.create_udp_socket(local_host=host, local_port=port))
--- a/gullmount/net/types.py
+++ b/gullmount/net/types.py
@@ -26,6 +26,37 @@
     async def aclose(self) -> None: ...
 
 
+class Hearer(Protocol):
+    """Who is called with what comes on a conduit. Neither call may raise."""
+
+    def heard(self, data: bytes) -> None: ...
+
+    def ended(self) -> None:
+        """Nothing more comes: the other side closed or the connection broke. Once at most, also after a
+        close or an abort from here."""
+
+
+class Conduit(Protocol):
+    """A byte stream by callbacks, without a task of its own where the network has none."""
+
+    @property
+    def held(self) -> int:
+        """Bytes written that the network has not taken yet; after the end, those it never took."""
+
+    def write(self, data: bytes) -> None: ...
+
+    def pause(self) -> None:
+        """Hear nothing more until `resume`; the end may still be told."""
+
+    def resume(self) -> None: ...
+
+    def close(self) -> None:
+        """End once what was written has left."""
+
+    def abort(self) -> None:
+        """End at once."""
+
+
 class Net(Protocol):
     """Connects and listens by address. All methods may raise OSError, as sockets do."""
 
@@ -36,6 +67,17 @@
     ) -> None:
         """Accept until cancelled, `handler` in a task of its own for each stream."""
 
+    async def dial(self, address: str, hearer: Hearer) -> Conduit:
+        """Connect; `hearer` may be called before this returns."""
+
+    async def welcome(
+        self,
+        address: str,
+        greet: Callable[[Conduit], Hearer | None],
+        started: anyio.Event | None = None,
+    ) -> None:
+        """Accept until cancelled; a connection that `greet` gives no hearer for is ended."""
+
     async def datagrams(self, address: str) -> Datagrams: ...
 
 
--- a/gullmount/platform/control.py
+++ b/gullmount/platform/control.py
@@ -13,7 +13,7 @@
 
 from gullmount.interface import Phase, Verdict
 from gullmount.net import BROKEN, Net, Stream
-from gullmount.umpire.host import SocketHost
+from gullmount.umpire.host import DirectHost
 
 LINE_MOST = 8192  # bytes from which on a line ends its connection
 SILENT = 3.5  # s without a line after which the connection for news is opened anew: a sign comes each second
@@ -63,7 +63,7 @@
 class ControlService:
     """Lives as long as the instance."""
 
-    def __init__(self, host: SocketHost, net: Net, address: str, vote_within: float) -> None:
+    def __init__(self, host: DirectHost, net: Net, address: str, vote_within: float) -> None:
         self.host = host
         self.net = net
         self.address = address
--- a/gullmount/platform/discovery.py
+++ b/gullmount/platform/discovery.py
@@ -14,7 +14,7 @@
 from gullmount.interface import BoxState, Listed, ListKind
 from gullmount.net import BROKEN, Net, Stream
 from gullmount.platform.entrance import PlatformEntrance
-from gullmount.umpire.host import SocketHost
+from gullmount.umpire.host import DirectHost
 from gullmount.umpire.messages import Answer
 from gullmount.umpire.wire import AnswerReader, End, Fault
 
@@ -56,7 +56,7 @@
 
     def __init__(
         self,
-        host: SocketHost,
+        host: DirectHost,
         entrance: PlatformEntrance,
         net: Net,
         address: str,
--- a/gullmount/platform/entrance.py
+++ b/gullmount/platform/entrance.py
@@ -35,6 +35,7 @@
 REQ_ID = re.compile(r"[!-~]+", re.ASCII)
 NOT_STARTED = b"not-started"
 COMPLETED = 200
+BAD_GATEWAY = 502
 NOT_TAKEN = (503, 504)  # statuses by which a box says with its mark that it never began
 OUTCOMES = PLAIN | {
     # The box starts on a req once its last byte has arrived: here a broken write is a proof.
@@ -148,6 +149,11 @@
     def errored(self, status: int) -> Answer:
         return error_answer(status)
 
+    def box_errored(self, answer: Answer) -> Answer:
+        """In our words. Guards against a box's 503 or 429 without its mark: the req may have run, and the
+        client would take it for a promise that it did not."""
+        return error_answer(BAD_GATEWAY)
+
     # Boxes
 
     def address(self, box: str) -> str:
--- a/gullmount/platform/peers.py
+++ b/gullmount/platform/peers.py
@@ -7,7 +7,7 @@
 from gullmount.interface import Verdict
 from gullmount.net import BROKEN, Datagrams
 from gullmount.profile import read_vote, vote_text
-from gullmount.umpire.host import SocketHost
+from gullmount.umpire.host import DirectHost
 
 MESSAGE_MOST = 256  # bytes of a datagram, as the protocol says
 
@@ -15,7 +15,7 @@
 class Peers:
     """`addresses` in the order of the umpires' numbers; a datagram counts for its sender's address alone."""
 
-    def __init__(self, host: SocketHost, datagrams: Datagrams, addresses: list[str]) -> None:
+    def __init__(self, host: DirectHost, datagrams: Datagrams, addresses: list[str]) -> None:
         self.host = host
         self.datagrams = datagrams
         self.addresses = addresses
--- a/gullmount/platform/serving.py
+++ b/gullmount/platform/serving.py
@@ -17,8 +17,8 @@
 from gullmount.platform.entrance import PlatformEntrance
 from gullmount.platform.peers import Peers
 from gullmount.platform.told import Start, Unreadable, read
-from gullmount.umpire.doors import Doors
-from gullmount.umpire.host import Log, SocketHost, read_clock
+from gullmount.umpire.doors import DirectDoors
+from gullmount.umpire.host import LONG_AGO, DirectHost, Log, read_clock
 
 COMING = 0.55  # s after SIGTERM in which reqs are still taken: clients come for 0.4 s
 
@@ -26,8 +26,17 @@
 class PlatformUmpire:
     """`serve` it; `move` and `stop` may be called while it serves."""
 
-    def __init__(self, start: Start, net: Net, log: Log, wall: Callable[[], float] = time.time) -> None:
+    def __init__(
+        self,
+        start: Start,
+        net: Net,
+        log: Log,
+        *,
+        wall: Callable[[], float] = time.time,
+        clock: Callable[[], float] = read_clock,
+    ) -> None:
         self.start = start
+        self.clock = clock
         self.net = net
         self.log = log
         self.wall = wall
@@ -35,11 +44,13 @@
     async def serve(self, tasks: TaskGroup) -> None:
         """Set up and return once clients are let in; `tasks` hold what goes on."""
         told, terms = self.start.told, self.start.terms
-        self.entrance = PlatformEntrance(self.start.grounds, terms, told.limits.sockets, read_clock)
-        self.host = host = SocketHost(self.entrance, self.start.grounds, self.net, tasks, self.log)
+        self.entrance = PlatformEntrance(self.start.grounds, terms, told.limits.sockets, self.clock)
+        self.host = host = DirectHost(
+            self.entrance, self.start.grounds, self.net, tasks, self.log, self.clock
+        )
         self.discovery = Discovery(host, self.entrance, self.net, told.discovery, self.wall)
         self.control = ControlService(host, self.net, told.platform.address, terms.vote_within)
-        self.doors = Doors(host, self.net, tasks)
+        self.doors = DirectDoors(host, self.net, tasks)
         host.on_vote = self.control.vote
         host.on_subscribe = self.discovery.ask
         try:
@@ -55,7 +66,6 @@
             tasks.start_soon(peers.hear)
         self.discovery.ask()
         tasks.start_soon(self.control.watch)
-        tasks.start_soon(host.upstream.sweep)
         tasks.start_soon(self.doors.listen, told.listen)
         await self.doors.listening.wait()
         self.log("listening", address=told.listen)
@@ -69,11 +79,16 @@
         await self.doors.stop(COMING)
 
 
+def monotonic() -> float:
+    """Seconds of the system's clock: the loop's own stands still while it works through what came."""
+    return time.monotonic() + LONG_AGO
+
+
 async def run(start: Start, net: Net, log: Log) -> None:
     """Until SIGTERM or SIGINT; SIGHUP reads the configuration again."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async with anyio.create_task_group() as tasks:
-            umpire = PlatformUmpire(start, net, log)
+            umpire = PlatformUmpire(start, net, log, clock=monotonic)
             await umpire.serve(tasks)
             async for number in signals:
                 if number != signal.SIGHUP:
--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -408,11 +408,13 @@
         released = trial is None or (trial.build == build and trial.phase is Phase.RELEASED)
         return None if released else trial
 
-    def allowed(self, req: Req, box: Box, now: float) -> bool:
+    def allowed(self, req: Req, box: Box, now: float, builds: dict[int, bool]) -> bool:
+        """Whether it may go there; `builds` keeps for one pick which of them it may go to."""
         if not box.ready or req.settled or req.open_tries or len(req.tries) >= self.grounds.max_tries:
             return False
-        may_go = self.repeat_allowed(req, box, now) and self.build_allowed(req, box, now)
-        return may_go and self.warm_enough(box, now)
+        if box.build not in builds:
+            builds[box.build] = self.build_allowed(req, box.build, now)
+        return builds[box.build] and self.repeat_allowed(req, box, now) and self.warm_enough(box, now)
 
     def repeat_allowed(self, req: Req, box: Box, now: float) -> bool:
         route, first = req.route, req.group_of
@@ -424,26 +426,26 @@
             return box.zone == first[0]
         return route.group is Group.ALL or box.cell == first[1]
 
-    def build_allowed(self, req: Req, box: Box, now: float) -> bool:
-        if self.release.one_way and self.met_by(req) > box.build:
+    def build_allowed(self, req: Req, build: int, now: float) -> bool:
+        if self.release.one_way and self.met_by(req) > build:
             return False
-        trial = self.side(box.build)
+        trial = self.side(build)
         if trial is None:
             return True
         if self.grounds.restarted and now - self.born < self.release.window:
             return False  # what was sent before a kill may fill the cap: it is not known, so nothing is added
-        unannounced = box.build > trial.build
+        unannounced = build > trial.build
         cap = self.release.caps[0] if unannounced else trial.cap
         stage = 0 if unannounced else trial.stage
         if cap <= 0 or (stage < self.release.closed_stages and req.route.repeats is not Repeats.RETRIABLE):
             return False
-        sends, reqs = self.ledger(req).counts(box.build, now - self.release.window)
+        sends, reqs = self.ledger(req).counts(build, now - self.release.window)
         return sends + 1 <= self.release.spare_tries + cap * reqs
 
     def warmth(self, box: Box, now: float) -> float:
         """The least share of its capacity that the box can have by now."""
         cold = self.grounds.cold_share
-        return min(1.0, cold + (1 - cold) * max(0.0, box.age(now)) / self.grounds.warm_time)
+        return min(1.0, cold + (1 - cold) * max(0.0, now - box.started) / self.grounds.warm_time)
 
     def warm_enough(self, box: Box, now: float) -> bool:
         """Slow start: a cold box gets at most its warmth's part of what a usual box gets from this umpire.
@@ -451,14 +453,12 @@
         Others do the same by their own traffic, so the sum stays below the multiple that tips. Counted by
         answers, not reqs taken: in a jam clients repeat themselves. Harm: after a jam boxes fill slowly.
         """
-        warmth = self.warmth(box, now)
-        if warmth >= 1:
+        if (warmth := self.warmth(box, now)) >= 1:
             return True
         rate = len(self.answered) / max(1.0, min(RATE_OVER, now - self.born))
         usual = rate / sum(map(len, self.pools.values()))
         earned = (now - box.credited) * usual * warmth * self.grounds.tip_multiple / 2
-        box.credit = min(1.0, box.credit + earned)
-        box.credited = now
+        box.credit, box.credited = min(1.0, box.credit + earned), now
         return box.credit >= 1
 
     # The split and the rotation
@@ -517,9 +517,9 @@
         Among many umpires each ranks only a few boxes drawn by chance: it knows little of them. Guards
         against all ranking alike, which fills one zone. Harm: a busy umpire sees less than it could.
         """
-        wanted = self.wanted(req)
+        wanted, builds, sides = self.wanted(req), dict[int, bool](), {rev: self.side(rev) for rev in self.pools}
         roomy = {rev for rev in self.pools if self.has_room(rev)}
-        if wanted and not req.tries and any(self.side(rev) is wanted for rev in self.pools.keys() - roomy):
+        if wanted and not req.tries and any(sides[rev] is wanted for rev in self.pools.keys() - roomy):
             return None  # the bound sheds: only the exposure ledger sends a key back to an earlier build
         tried = {made.box.id for made in req.tries}
 
@@ -528,7 +528,8 @@
             return not out and box.id not in tried
 
         def cost(box: Box) -> tuple[bool, bool, float]:
-            return not usable(box), self.side(box.build) is not wanted, self.wait(box, now)
+            pace = paces.get(box.zone) or self.zones[box.zone].expected(usual, ZONE_FORGET, now)
+            return not usable(box), sides[box.build] is not wanted, self.wait(box, UNKNOWN * pace, now)
 
         pool = [box for box in self.ready(wanted) or self.ready(None) if box.build in roomy]
         choices = max(CHOICES, ceil(len(pool) * ALL_SEEN / self.grounds.umpires))
@@ -540,14 +541,14 @@
             if self.link_fails > LINK_FAILS:
                 near = [box for box in near if box.linked_until > now] or near
             drawn = [near[int(self.random() * len(near))] for _ in range(choices)]
-            good = [box for box in drawn if usable(box) and self.allowed(req, box, now)]
+            good = [box for box in drawn if usable(box) and self.allowed(req, box, now, builds)]
             if good:
                 return min(good, key=cost)
         earlier = any(box.out_until <= now for box in self.ready(None))
         if wanted or not earlier:
-            sides = [rev for rev in sorted(roomy) if not earlier or self.side(rev) in (wanted, None)]
-            pool = [box for rev in sides for box in self.pools[rev]]
-        return min((box for box in pool if self.allowed(req, box, now)), key=cost, default=None)
+            near_by = [rev for rev in sorted(roomy) if not earlier or sides[rev] in (wanted, None)]
+            pool = [box for rev in near_by for box in self.pools[rev]]
+        return min((box for box in pool if self.allowed(req, box, now, builds)), key=cost, default=None)
 
     def usual(self, now: float) -> float:
         return self.pace.expected(FIRST_TIME, ZONE_FORGET, now)
@@ -555,9 +556,9 @@
     def unknown(self, box: Box, now: float) -> float:
         return UNKNOWN * self.zones[box.zone].expected(self.usual(now), ZONE_FORGET, now)
 
-    def wait(self, box: Box, now: float) -> float:
+    def wait(self, box: Box, unknown: float, now: float) -> float:
         far = (1.0 if box.zone == self.grounds.zone else FAR) * (1 + SPREAD * self.random())
-        pace = box.pace.expected(self.unknown(box, now), FORGET, now)
+        pace = box.pace.expected(unknown, FORGET, now)
         return far * (box.open + 1) * pace / (box.power * self.warmth(box, now))
 
     def note_health(self, box: Box, outcome: Outcome, latency: float, objective: float, now: float) -> None:
@@ -575,8 +576,7 @@
                 box.out_for = min(EJECT_MOST, max(EJECT_FOR, box.out_for * 2))
                 box.out_until = now + box.out_for * (0.75 + 0.5 * self.random())
         elif outcome is Outcome.COMPLETED:
-            box.failing = 0
-            box.out_until = box.out_for = 0.0
+            box.failing, box.out_until, box.out_for = 0, 0.0, 0.0
         if silent or outcome is Outcome.COMPLETED:
             self.pace.note(time, USUAL_SMOOTH, FIRST_TIME, ZONE_FORGET, now)
             self.zones[box.zone].note(time, SMOOTH, self.usual(now), ZONE_FORGET, now)
--- a/gullmount/umpire/doors.py
+++ b/gullmount/umpire/doors.py
@@ -6,21 +6,23 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from gullmount.net import Net, Stream
+from gullmount.net import Conduit, Net, Stream
+from gullmount.umpire.direct_front import DirectFront
 from gullmount.umpire.front import Front
-from gullmount.umpire.host import SocketHost
+from gullmount.umpire.host import UmpireHost
 
 LOOK_EVERY = 0.01  # s between looks whether the last answers have left, at a stop
+SWEEP = 0.2  # s between looks for connections whose time is up
 
 
 class Doors:
     """Lives as long as the instance."""
 
-    def __init__(self, host: SocketHost, net: Net, tasks: TaskGroup) -> None:
+    def __init__(self, host: UmpireHost, net: Net, tasks: TaskGroup) -> None:
         self.host = host
         self.net = net
         self.tasks = tasks
-        self.fronts: dict[Front, None] = {}  # the oldest first
+        self.fronts: dict[Front | DirectFront, None] = {}  # the oldest first
         self.taking = anyio.CancelScope()
         self.listening = anyio.Event()
 
@@ -43,7 +45,7 @@
         try:
             await front.run()
         finally:
-            del self.fronts[front]
+            self.fronts.pop(front, None)
 
     def make_room(self) -> None:
         """Close the connection that has been of no use for longest.
@@ -53,7 +55,9 @@
         """
         idle = [front for front in self.fronts if front.idle and not front.busy]
         if idle:
-            min(idle, key=lambda front: (front.taken > 0, front.idle_since)).close()
+            front = min(idle, key=lambda front: (front.taken > 0, front.idle_since))
+            front.close()
+            self.fronts.pop(front, None)  # at once: its end is told later, and the newcomer is here
 
     async def stop(self, after: float = 0.0) -> None:
         """Take nothing more, `after` seconds from now, and wait until all that was taken has its answer."""
@@ -69,3 +73,33 @@
         while any(front.busy for front in self.fronts):  # bounded by the time a write may take
             await anyio.sleep(LOOK_EVERY)
         self.host.write_log("stopped")
+
+
+class DirectDoors(Doors):
+    """The same for fronts by callbacks."""
+
+    async def listen(self, address: str) -> None:
+        self.tasks.start_soon(self.sweep)
+        with self.taking:
+            await self.net.welcome(address, self.greet, self.listening)
+
+    def greet(self, conduit: Conduit) -> DirectFront | None:
+        bounds = self.host.entrance.clients
+        if len(self.fronts) >= bounds.connections and bounds.makes_room:
+            self.make_room()
+        if len(self.fronts) >= bounds.connections or self.host.closed:
+            return None
+        front = DirectFront(self.host, conduit, self.forget)
+        self.fronts[front] = None
+        return front
+
+    def forget(self, front: DirectFront) -> None:
+        self.fronts.pop(front, None)
+
+    async def sweep(self) -> None:
+        while True:
+            await anyio.sleep(SWEEP)
+            now = self.host.now()
+            for front in list(self.fronts):
+                if isinstance(front, DirectFront):
+                    front.look(now)
--- a/gullmount/umpire/entrance.py
+++ b/gullmount/umpire/entrance.py
@@ -88,3 +88,6 @@
     def shed(self, retry_after: float) -> Answer: ...
 
     def errored(self, status: int) -> Answer: ...
+
+    def box_errored(self, answer: Answer) -> Answer:
+        """What the client is told where the box's own error is the req's final answer."""
--- a/gullmount/umpire/exchange.py
+++ b/gullmount/umpire/exchange.py
@@ -5,6 +5,7 @@
 
 from collections.abc import AsyncIterator, Callable
 from math import inf
+from typing import Protocol
 
 import anyio
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
@@ -17,6 +18,14 @@
 )
 
 
+class Cancellable(Protocol):
+    """An open try, as far as its req may end it."""
+
+    deadline: float
+
+    def cancel(self) -> None: ...
+
+
 class Exchange:
     """Holds the one final answer. `settle` takes the first one given; later ones change nothing."""
 
@@ -32,7 +41,7 @@
         self.req: Req | None = None
         self.tries = 0
         self.open = 0
-        self.scopes: dict[int, anyio.CancelScope] = {}
+        self.scopes: dict[int, Cancellable] = {}  # of the open tries
         self.failure: Answer | None = (
             None  # the box's own words, or ours, for the case that the module gives up
         )
@@ -40,16 +49,19 @@
         self.passing: MemoryObjectReceiveStream[bytes] | None = None
         self.broke = False  # a begun answer broke off
         self.left = False
-        self.done = anyio.Event()
-
-    @property
-    def settled(self) -> bool:
-        return self.done.is_set()
+        self.settled = False
+        self.on_settled: Callable[[], None] | None = None
 
     def settle(self, answer: Answer) -> None:
         if not self.settled:
             self.answer = answer
-            self.done.set()
+            self.finish()
+
+    def finish(self) -> None:
+        if not self.settled:
+            self.settled = True
+            if self.on_settled is not None:
+                self.on_settled()
 
     def begin(self, answer: Answer, number: int) -> MemoryObjectSendStream[bytes]:
         """The answer's head goes to the client now; the body follows through the returned stream."""
@@ -65,8 +77,8 @@
         if self.left:
             return
         self.left = True
-        self.done.set()
+        self.finish()
         if self.req is not None:
             self.req.left()
-        for scope in self.scopes.values():
+        for scope in list(self.scopes.values()):
             scope.cancel()
--- a/gullmount/umpire/front.py
+++ b/gullmount/umpire/front.py
@@ -15,7 +15,7 @@
 from gullmount.umpire.wire import BODYLESS, LAST_CHUNK, End, Fault, Part, ReqReader, answer_head, chunk
 
 if TYPE_CHECKING:
-    from gullmount.umpire.host import SocketHost
+    from gullmount.umpire.host import UmpireHost
 
 LINGER_MOST = 1 << 20  # bytes of it
 GO_ON = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -36,7 +36,7 @@
 class Front:
     """One client connection."""
 
-    def __init__(self, host: SocketHost, stream: Stream) -> None:
+    def __init__(self, host: UmpireHost, stream: Stream) -> None:
         self.host = host
         self.bounds = host.entrance.clients
         self.stream = stream
@@ -85,7 +85,7 @@
                 return
             if exchange is None:
                 continue
-            await exchange.done.wait()
+            await self.settled(exchange)
             self.exchange = None
             if exchange.left:
                 return
@@ -95,6 +95,12 @@
                 await self.linger()
                 return
 
+    async def settled(self, exchange: Exchange) -> None:
+        if not exchange.settled:
+            done = anyio.Event()
+            exchange.on_settled = done.set
+            await done.wait()
+
     # Taking
 
     async def part(self, within: float) -> Part:
--- a/gullmount/umpire/general.py
+++ b/gullmount/umpire/general.py
@@ -107,3 +107,7 @@
 
     def errored(self, status: int) -> Answer:
         return error_answer(status)
+
+    def box_errored(self, answer: Answer) -> Answer:
+        answer.word = b"errored"
+        return answer
--- a/gullmount/umpire/host.py
+++ b/gullmount/umpire/host.py
@@ -15,10 +15,12 @@
 from gullmount.net import Net
 from gullmount.policy import Umpire
 from gullmount.state import Req
+from gullmount.umpire.direct_upstream import DirectUpstream
 from gullmount.umpire.entrance import Admission, Entrance
 from gullmount.umpire.exchange import Exchange
-from gullmount.umpire.messages import Head
+from gullmount.umpire.messages import Answer, Head
 from gullmount.umpire.outcomes import Ending
+from gullmount.umpire.timers import Timers
 from gullmount.umpire.upstream import Upstream
 
 BAD_GATEWAY, GATEWAY_TIMEOUT = 502, 504  # statuses that a req is errored with: HTTP's own words
@@ -34,12 +36,10 @@
     return anyio.current_time() + LONG_AGO
 
 
-class SocketHost:
-    """Implements `gullmount.interface.Host`; lives as long as the instance."""
+class UmpireHost:
+    """What both hosts share of `gullmount.interface.Host`; lives as long as the instance."""
 
-    def __init__(
-        self, entrance: Entrance, grounds: Grounds, net: Net, tasks: TaskGroup, log: Log
-    ) -> None:
+    def __init__(self, entrance: Entrance, grounds: Grounds, tasks: TaskGroup, log: Log) -> None:
         self.entrance = entrance
         self.tasks = tasks
         self.write_log = log
@@ -50,7 +50,6 @@
         self.exchanges: dict[str, Exchange] = {}
         self.emptied = anyio.Event()
         self.count = 0
-        self.upstream = Upstream(entrance, net, tasks)
         self.on_vote: Votes | None = None
         self.on_tell: Tells | None = None
         self.on_subscribe: Callable[[], None] | None = None
@@ -66,11 +65,7 @@
         return read_clock()
 
     def send(self, req: str, box: str, patience: float) -> None:
-        exchange = self.exchanges[req]
-        number = exchange.tries
-        exchange.tries += 1
-        exchange.open += 1
-        self.tasks.start_soon(self.carry, exchange, number, box, patience)
+        raise NotImplementedError
 
     def shed(self, req: str, retry_after: float) -> None:
         self.exchanges[req].settle(self.entrance.shed(retry_after))
@@ -80,7 +75,7 @@
         exchange.settle(exchange.failure or self.entrance.errored(BAD_GATEWAY))
 
     def call_after(self, delay: float, callback: Callable[[], None]) -> None:
-        self.tasks.start_soon(self.wait_and_call, delay, callback)
+        raise NotImplementedError
 
     def vote(self, build: int, stage: int, verdict: Verdict) -> None:
         if self.on_vote is not None:
@@ -121,22 +116,21 @@
         if exchange.settled and not req.open_tries:
             self.drop(exchange)
 
-    async def carry(self, exchange: Exchange, number: int, box: str, patience: float) -> None:
-        """One upstream try, from its first byte to the module's hearing of its end."""
-        sent = self.now()
-        ending, answer = await self.upstream.attempt(exchange, number, box, patience)
+    def tried(
+        self, exchange: Exchange, number: int, ending: Ending, answer: Answer | None, latency: float
+    ) -> None:
+        """A try came to its end, `latency` seconds after it was sent."""
         outcome = self.entrance.outcome(ending, answer)
         exchange.open -= 1
         if outcome is Outcome.COMPLETED and answer is not None:
             exchange.settle(answer)
         elif outcome is Outcome.ERROR and answer is not None and ending is Ending.ANSWERED:
-            answer.word = b"errored"
-            exchange.failure = answer
+            exchange.failure = self.entrance.box_errored(answer)
         elif outcome is Outcome.TIMEOUT:
             exchange.failure = self.entrance.errored(GATEWAY_TIMEOUT)
         req = exchange.req
         assert isinstance(req, Req)
-        req.ended(number, outcome, self.now() - sent, exchange.settled)
+        req.ended(number, outcome, latency, exchange.settled)
         if exchange.settled and not exchange.open:
             self.drop(exchange)
 
@@ -146,12 +140,66 @@
         if not self.exchanges:
             self.emptied.set()
 
-    async def wait_and_call(self, delay: float, callback: Callable[[], None]) -> None:
-        await anyio.sleep(delay)
-        callback()
-
     async def settled(self) -> None:
         """Until every taken req has its answer."""
         while self.exchanges:
             self.emptied = anyio.Event()
             await self.emptied.wait()
+
+
+class SocketHost(UmpireHost):
+    """A task a try: for an entrance that passes on what is too large to be kept."""
+
+    def __init__(self, entrance: Entrance, grounds: Grounds, net: Net, tasks: TaskGroup, log: Log) -> None:
+        self.upstream = Upstream(entrance, net, tasks)
+        super().__init__(entrance, grounds, tasks, log)
+
+    def send(self, req: str, box: str, patience: float) -> None:
+        exchange = self.exchanges[req]
+        number = exchange.tries
+        exchange.tries += 1
+        exchange.open += 1
+        self.tasks.start_soon(self.carry, exchange, number, box, patience)
+
+    def call_after(self, delay: float, callback: Callable[[], None]) -> None:
+        self.tasks.start_soon(self.wait_and_call, delay, callback)
+
+    async def carry(self, exchange: Exchange, number: int, box: str, patience: float) -> None:
+        """One upstream try, from its first byte to the module's hearing of its end."""
+        sent = self.now()
+        ending, answer = await self.upstream.attempt(exchange, number, box, patience)
+        self.tried(exchange, number, ending, answer, self.now() - sent)
+
+    async def wait_and_call(self, delay: float, callback: Callable[[], None]) -> None:
+        await anyio.sleep(delay)
+        callback()
+
+
+class DirectHost(UmpireHost):
+    """The same by callbacks, for an entrance whose reqs and answers are kept whole."""
+
+    def __init__(
+        self,
+        entrance: Entrance,
+        grounds: Grounds,
+        net: Net,
+        tasks: TaskGroup,
+        log: Log,
+        clock: Callable[[], float] = read_clock,
+    ) -> None:
+        self.now = clock  # type: ignore[method-assign]  # asked a dozen times a req
+        self.timers = Timers(clock)
+        self.upstream = DirectUpstream(self, entrance, net, tasks, self.timers)
+        super().__init__(entrance, grounds, tasks, log)
+        tasks.start_soon(self.timers.run)
+        tasks.start_soon(self.upstream.sweep)
+
+    def send(self, req: str, box: str, patience: float) -> None:
+        exchange = self.exchanges[req]
+        number = exchange.tries
+        exchange.tries += 1
+        exchange.open += 1
+        self.upstream.begin(exchange, number, box, patience)
+
+    def call_after(self, delay: float, callback: Callable[[], None]) -> None:
+        self.timers.after(delay, callback)
--- a/gullmount/umpire/running.py
+++ b/gullmount/umpire/running.py
@@ -15,6 +15,7 @@
 from gullmount.interface import ListKind
 from gullmount.net import Net
 from gullmount.umpire.control import VERSION, Launcher, NotUnderstood, Peers, Roster, check, decode
+from gullmount.umpire.direct_front import DirectFront
 from gullmount.umpire.doors import Doors
 from gullmount.umpire.front import Front
 from gullmount.umpire.general import GeneralEntrance
@@ -130,7 +131,7 @@
         return self.doors.listening
 
     @property
-    def fronts(self) -> Collection[Front]:
+    def fronts(self) -> Collection[Front | DirectFront]:
         return self.doors.fronts
 
     # What outlives the process
--- a/gullmount/umpire/wire.py
+++ b/gullmount/umpire/wire.py
@@ -97,8 +97,13 @@
         super().__init__(head_most)
         self.parser = self.of_reqs = httptools.HttpRequestParser(self)
         self.awaits_go = False  # whether the client sends its body only when told to
+        self.begun = False  # whether a req has begun and is not read to its end
         self.keep = True  # whether the connection may carry another req after this one
 
+    def on_message_begin(self) -> None:
+        self.begun = True
+        super().on_message_begin()
+
     def on_headers_complete(self) -> None:
         self.in_head, self.head_size = False, 0
         version = self.parser.get_http_version()
@@ -122,7 +127,7 @@
             self.parts.append(body)
 
     def on_message_complete(self) -> None:
-        self.awaits_go = False
+        self.awaits_go = self.begun = False
         self.head_size = 0
         self.in_head = True
         if self.fault is None:
--- /dev/null
+++ b/tests/platform_world.py
@@ -0,0 +1,229 @@
+"""What stands round an umpire on the platform, scripted: boxes, discovery, control service, a configuration.
+
+Stand-ins after the platform's protocol, on loopback sockets; each test says what they answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+HOST = f"127.{60 + os.getpid() % 150}.0.2"  # of this process: test runs side by side do not meet
+RUN = "exec .venv/bin/python -m gullmount.platform"
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+SETTINGS: dict[str, Any] = {
+    "Ceilings": {
+        "ConnIdleUs": 15_000_000, "ConnectTimeoutUs": 250_000, "MaxAttempts": 4, "MaxRetryAfterUs": 0,
+        "Peers": True, "RetryAfter": False,
+    },
+    "Discovery": "subscribe",
+    "Grades": [
+        {"Name": "load-item", "ObjectiveUs": 400_000, "DeadlineUs": 2_000_000, "Semantics": "idempotent",
+         "Group": "all", "WindowUs": 5_000_000},
+        {"Name": "submit-exam", "ObjectiveUs": 300_000, "DeadlineUs": 1_500_000, "Semantics": "at_most_once",
+         "Group": "all", "WindowUs": 5_000_000},
+    ],
+    "Me": 0,
+    "Rules": {"ColdFrom": 0.32, "TipMultiple": 4.0, "WarmAfterUs": 2_000_000},
+    "Siblings": 1,
+    "Specifics": {
+        "BackVotes": 1, "ClosedStages": 0, "CountedBy": "all", "ExposureCaps": [0.056, 0.35, 1.0],
+        "GateMode": "any", "MetricsPeriodUs": 0, "OneWay": False, "SpanUs": 3_000_000, "SpareTries": 2.0,
+        "ToAdvance": 1, "VoteLifeUs": 10_000_000, "VoteWaitUs": 500_000, "VotesPerS": 50.0,
+    },
+    "Zone": "a",
+}  # fmt: skip
+NEWS = {"build": 41, "stage": 2, "phase": "COMPLETE", "cap": 1.0, "age_ms": 9000}
+
+
+def entry(box: str, at: str, build: int = 41, phase: str = "ready", up: int = 0) -> dict[str, Any]:
+    return {
+        "id": box, "host_port": at, "locality": "a", "flavor": "m2", "cell": 0, "phase": phase, "size": 1.0,
+        "up_since_ms": up, "version_no": build,
+    }  # fmt: skip
+
+
+def configuration(**changes: Any) -> dict[str, Any]:
+    return {
+        "name": "n0", "listen": f"{HOST}:8100", "discovery": f"{HOST}:8101", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 0.85, "memory_mb": 64, "sockets": 256}, "peer_listen": f"{HOST}:8103",
+        "peers": [f"{HOST}:8103"], "platform": {"address": f"{HOST}:8102", "news": NEWS},
+        "known": {"revision": 1, "complete": True, "members": []}, "settings": SETTINGS, **changes,
+    }  # fmt: skip
+
+
+def asked(
+    mark: str, route: str = "load-item", patience: str = "900", body: bytes = b"", more: bytes = b""
+) -> bytes:
+    """A req as the platform's clients write it."""
+    method = "GET" if route == "load-item" else "POST"
+    length = f"Content-Length: {len(body)}\r\n" if method == "POST" else ""
+    head = f"{method} /{route} HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: {mark}\r\n"
+    head += f"Request-Class: {route}\r\nAffinity-Key: 7f3a9c21e0b4d655\r\n"
+    head += f"Request-Timeout-Ms: {patience}\r\n{length}"
+    return head.encode() + more + b"\r\n" + body
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[bytes, bytes]:
+    """A message with a told length, or none: head and body. Raises IncompleteReadError at the end."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    size = 0
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            size = int(line.split(b":")[1])
+    return head, await reader.readexactly(size) if size else b""
+
+
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+def answering(answer: bytes, delay: float = 0.0, seen: list[bytes] | None = None) -> Script:
+    """A box that gives each req the same answer."""
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head, body = await read_message(reader)
+            if seen is not None:
+                seen.append(head + body)
+            if delay:
+                await asyncio.sleep(delay)
+            writer.write(answer)
+
+    return script
+
+
+class World:
+    """Servers by port on `HOST`; ends with `close`."""
+
+    def __init__(self) -> None:
+        self.servers: list[asyncio.Server] = []
+        self.members: list[dict[str, Any]] = []
+        self.revision = 1
+        self.changed = asyncio.Event()
+        self.lists = 0  # calls of discovery that were answered
+        self.votes: list[str] = []
+        self.vote_answer = b"OK 41 2 COMPLETE 1.0 9000\r\n"
+        self.notices: list[asyncio.StreamWriter] = []
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    async def serve(self, port: int, script: Script) -> str:
+        async def shielded(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            task = asyncio.current_task()
+            assert task is not None
+            self.tasks.add(task)
+            try:
+                await script(reader, writer)
+            except (OSError, EOFError, asyncio.LimitOverrunError, asyncio.CancelledError):
+                pass
+            finally:
+                self.tasks.discard(task)
+                writer.close()
+
+        server = await asyncio.start_server(shielded, HOST, port)
+        self.servers.append(server)
+        return f"{HOST}:{port}"
+
+    def stop_serving(self, port: int) -> None:
+        for server in self.servers:
+            if any(sock.getsockname()[1] == port for sock in server.sockets):
+                server.close()
+
+    async def box(self, port: int, script: Script, **fields: Any) -> None:
+        self.members.append(entry(f"s-{port}", await self.serve(port, script), **fields))
+
+    def tell(self) -> None:
+        """The list has changed."""
+        self.revision += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def discovery(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head, _ = await read_message(reader)
+            after = int(head.split(b"after=")[1].split(b"&")[0])
+            if after >= self.revision:
+                await self.changed.wait()
+            page = {"revision": self.revision, "complete": True, "members": self.members}
+            body = json.dumps(page).encode()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+            self.lists += 1
+
+    async def control(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            line = (await reader.readuntil(b"\r\n")).decode().strip()
+            if line == "NOTIFY":
+                writer.write(b"OK\r\n* progress 41 2 COMPLETE 1.0 9000\r\n")
+                self.notices.append(writer)
+            else:
+                self.votes.append(line)
+                writer.write(self.vote_answer)
+
+    async def surround(self, discovery: int = 8101, control: int = 8102) -> None:
+        await self.serve(discovery, self.discovery)
+        await self.serve(control, self.control)
+
+    async def close(self) -> None:
+        for server in self.servers:
+            server.close()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+class Running:
+    """`run` as a process of its own, with a made configuration."""
+
+    def __init__(self, folder: Path, told: dict[str, Any]) -> None:
+        self.path = folder / "config.json"
+        self.told = told
+        self.write(told)
+
+    def write(self, told: dict[str, Any]) -> None:
+        self.path.write_text(json.dumps(told))
+
+    async def start(self, *command: str) -> None:
+        environment = {**os.environ, "PROXY_CONFIG": str(self.path), "PROXY_NAME": "n0"}
+        words = command or ("/bin/sh", "-c", RUN)
+        self.process = await asyncio.create_subprocess_exec(
+            *words, env=environment, stderr=asyncio.subprocess.PIPE
+        )
+        for _ in range(200):
+            try:
+                if (await self.ask(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")).startswith(b"HTTP/1.1 200"):
+                    return
+            except OSError:
+                pass
+            if self.process.returncode is not None:
+                break
+            await asyncio.sleep(0.02)
+        if self.process.returncode is None:
+            self.process.kill()
+        raise AssertionError("did not become ready")
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, port = self.told["listen"].split(":")
+        return await asyncio.open_connection(host, int(port))
+
+    async def ask(self, data: bytes, within: float = 3.0) -> bytes:
+        """One req on a connection of its own, and its whole answer; b"" for a close without one."""
+        reader, writer = await self.connect()
+        try:
+            writer.write(data)
+            async with asyncio.timeout(within):
+                head, body = await read_message(reader)
+            return head + body
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return b""
+        finally:
+            writer.close()
+
+    async def stop(self) -> bytes:
+        """SIGTERM, and what it logged."""
+        if self.process.returncode is None:
+            self.process.terminate()
+        _, logged = await asyncio.wait_for(self.process.communicate(), 10)
+        return logged
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,418 @@
+"""The umpire on the platform: `run` as a process between scripted surroundings, and its readers alone."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from gullmount.interface import Outcome, Repeats, Verdict
+from gullmount.platform.control import STATE
+from gullmount.platform.entrance import Marks, PlatformEntrance
+from gullmount.platform.told import Unreadable, read
+from gullmount.profile import read_vote, vote_text
+from gullmount.umpire.messages import Answer, Head
+from gullmount.umpire.outcomes import Ending
+from gullmount.umpire.wire import Fault
+from tests.platform_world import (
+    HOST,
+    OK,
+    Running,
+    Script,
+    World,
+    answering,
+    asked,
+    configuration,
+    read_message,
+)
+
+FULL = b"HTTP/1.1 503 Busy\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
+ERROR = b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"
+
+
+def status(answer: bytes) -> int:
+    return int(answer.split(b" ", 2)[1]) if answer else 0
+
+
+def play(
+    folder: Path, scripts: list[Script], scene: Callable[[World, Running], Awaitable[None]], **changes: Any
+) -> bytes:
+    """A scene round a running umpire that knows a box for each script; what it logged."""
+
+    async def whole() -> bytes:
+        world = World()
+        await world.surround()
+        for number, script in enumerate(scripts):
+            await world.box(8200 + number, script)
+        known = {"revision": 1, "complete": True, "members": world.members}
+        running = Running(folder, configuration(known=known, **changes))
+        await running.start()
+        try:
+            async with asyncio.timeout(20):
+                await scene(world, running)
+        finally:
+            logged = await running.stop()
+            await world.close()
+        assert running.process.returncode == 0, logged.decode()
+        assert b"Traceback" not in logged, logged.decode()
+        return logged
+
+    return asyncio.run(whole())
+
+
+# Boxes
+
+
+def scripted(answer: bytes, end: bool = False, seen: list[bytes] | None = None) -> Script:
+    """Writes `answer` behind each req; `end` closes after it."""
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head, body = await read_message(reader)
+            if seen is not None:
+                seen.append(head + body)
+            writer.write(answer)
+            if end:
+                return
+
+    return script
+
+
+@pytest.mark.parametrize(
+    ("answer", "end", "wanted"),
+    [
+        (OK, False, 200),
+        (b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + OK, False, 200),
+        (OK + OK, False, 200),
+        (OK + b"noise", False, 200),
+        (OK.replace(b"Content", b"Server-Load: \xff\xfe=,,\r\nContent"), False, 200),
+        (b"HTTP/1.1 200 OK\r\n\r\nok", True, 200),
+        (FULL, False, 503),
+        (FULL.replace(b"Not-Started: 1\r\n", b""), False, 502),
+        (ERROR, False, 502),
+        (b"", True, 502),
+        (b"\x00\x01noise", False, 502),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", True, 502),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok", False, 502),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok", False, 502),
+        (b"HTTP/1.1 200 OK\r\nX: " + b"a" * 100_000, False, 502),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"a" * 100_000, False, 502),
+    ],
+)
+def test_what_a_box_answers_a_req_that_may_run_once(
+    tmp_path: Path, answer: bytes, end: bool, wanted: int
+) -> None:
+    """A non-retriable req goes out once wherever the answer does not prove that it never ran."""
+    seen: list[bytes] = []
+
+    async def scene(world: World, running: Running) -> None:
+        got = await running.ask(asked("a1", "submit-exam", body=b"body"))
+        assert status(got) == wanted
+        assert got.endswith(b"\r\n\r\nok") == (wanted == 200)
+
+    play(tmp_path, [scripted(answer, end, seen)], scene)
+    assert len(seen) == (4 if wanted == 503 else 1)  # a box that is full proves that it never ran
+    assert b"POST /submit-exam HTTP/1.1\r\n" in seen[0] and seen[0].endswith(b"\r\n\r\nbody")
+    assert b"request-id: a1\r\n" in seen[0] and b"request-timeout-ms: " in seen[0]
+
+
+def test_a_spoilt_connection_is_not_used_again(tmp_path: Path) -> None:
+    connections = 0
+    inner = scripted(OK + b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign")
+
+    async def counted(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal connections
+        connections += 1
+        await inner(reader, writer)
+
+    async def scene(world: World, running: Running) -> None:
+        for number in range(3):
+            assert (await running.ask(asked(f"a{number}"))).endswith(b"\r\n\r\nok")
+
+    play(tmp_path, [counted], scene)
+    assert connections == 3
+
+
+def test_a_silent_box_is_given_up_and_another_takes_the_req(tmp_path: Path) -> None:
+    async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.read(-1)
+
+    async def scene(world: World, running: Running) -> None:
+        answers = [await running.ask(asked(f"a{number}", patience="1900")) for number in range(4)]
+        assert [status(answer) for answer in answers] == [200] * 4
+
+    play(tmp_path, [silent, answering(OK)], scene)
+
+
+def test_no_box_sheds_at_once(tmp_path: Path) -> None:
+    async def scene(world: World, running: Running) -> None:
+        async with asyncio.timeout(0.5):
+            got = await running.ask(asked("a1"))
+        assert status(got) == 503 and b"retry-after" not in got.lower()
+
+    play(tmp_path, [], scene)
+
+
+@pytest.mark.parametrize("ending", [Ending.WRITE_BROKE, Ending.CONNECT_LATE, Ending.CONNECT_REFUSED])
+def test_never_ran_only_where_the_protocol_says_so(ending: Ending, tmp_path: Path) -> None:
+    entrance = made_entrance(tmp_path)
+    assert entrance.outcome(ending, None) is Outcome.CONNECT_FAILED
+    assert entrance.outcome(Ending.CLOSED_UNANSWERED, None) is Outcome.RESET
+    assert entrance.outcome(Ending.NOT_HTTP, None) is Outcome.RESET
+    assert entrance.outcome(Ending.PATIENCE_UNANSWERED, None) is Outcome.TIMEOUT
+    assert entrance.outcome(Ending.ANSWERED, Answer(504, [(b"not-started", b"1")], b"")) is Outcome.FULL
+    assert entrance.outcome(Ending.ANSWERED, Answer(500, [(b"not-started", b"1")], b"")) is Outcome.ERROR
+    assert entrance.outcome(Ending.ANSWERED, Answer(204, [], b"")) is Outcome.ERROR
+
+
+# Clients
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x16\x03\x01\x00noise\r\n\r\n",
+        b"GET /load-item HTTP/1.1\r\nHost: x\r\nX: " + b"a" * 40_000,
+        asked("a1", "submit-exam", body=b"x").replace(b"Content-Length: 1", b"Content-Length: -1"),
+        asked("a1", "submit-exam", body=b"x").replace(b"Content-Length: 1", b"Content-Length: 60000000"),
+        asked("a1", "submit-exam", body=b"x").replace(b"Content-Length: 1", b"Content-Length: 9" + b"9" * 30),
+        asked("a1", "submit-exam", body=b"x", more=b"Transfer-Encoding: chunked\r\n"),
+        asked("a1", "no-such-route"),
+        asked("a1", patience="soon"),
+        asked("a1", patience="-5"),
+        asked("a1", patience="0"),
+        asked("a1").replace(b"Request-Id: a1\r\n", b""),
+        asked("a1", more=b"Request-Id: a2\r\n"),
+        asked("a1").replace(b"GET", b"POST"),
+        asked("a1").replace(b"GET /load-item", b"GET /submit-exam"),
+        asked("a1", "submit-exam", body=b"whole body")[:-4],
+        b"GET /load-it",
+        b"",
+    ],
+)
+def test_what_cannot_be_a_req_gets_an_error_or_a_close_in_time(tmp_path: Path, data: bytes) -> None:
+    seen: list[bytes] = []
+
+    async def scene(world: World, running: Running) -> None:
+        begun = asyncio.get_running_loop().time()
+        got = await running.ask(data)
+        assert asyncio.get_running_loop().time() - begun < 2.7
+        assert got == b"" or 400 <= status(got) < 600
+        assert status(await running.ask(asked("b1"))) == 200
+
+    play(tmp_path, [answering(OK, seen=seen)], scene)
+    assert len(seen) == 1  # nothing of it reached a box
+
+
+def test_the_id_of_a_req_that_is_open_or_was_lately_reaches_no_box(tmp_path: Path) -> None:
+    seen: list[bytes] = []
+
+    async def scene(world: World, running: Running) -> None:
+        first = asyncio.create_task(running.ask(asked("a1")))
+        await asyncio.sleep(0.1)
+        assert status(await running.ask(asked("a1"))) == 400
+        assert status(await first) == 200
+        assert status(await running.ask(asked("a1"))) == 400
+
+    play(tmp_path, [answering(OK, 0.3, seen)], scene)
+    assert len(seen) == 1
+
+
+def test_pipelined_reqs_are_answered_in_their_order(tmp_path: Path) -> None:
+    async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head, _ = await read_message(reader)
+            mark = head.split(b"request-id: ")[1][:2]
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + mark)
+
+    async def scene(world: World, running: Running) -> None:
+        reader, writer = await running.connect()
+        writer.write(b"".join(asked(f"a{number}") for number in range(4)) + b"GET /healthz HTTP/1.1\r\n\r\n")
+        bodies = [(await read_message(reader))[1] for _ in range(4)]
+        assert bodies == [b"a0", b"a1", b"a2", b"a3"]
+        assert status((await read_message(reader))[0]) == 400  # no Host
+        assert await reader.read() == b""
+
+    play(tmp_path, [echo], scene)
+
+
+def test_silent_connections_leave_room_for_those_that_ask(tmp_path: Path) -> None:
+    async def scene(world: World, running: Running) -> None:
+        silent = [await running.connect() for _ in range(300)]
+        for number in range(10):
+            assert status(await running.ask(asked(f"a{number}"))) == 200
+        assert len(list(Path(f"/proc/{running.process.pid}/fd").iterdir())) < 256
+        await asyncio.sleep(2.5)
+        assert all([await reader.read() == b"" for reader, _ in silent])
+        for _, writer in silent:
+            writer.close()
+
+    play(tmp_path, [answering(OK)], scene)
+
+
+def test_a_client_that_leaves_calls_off_its_try(tmp_path: Path) -> None:
+    ended = asyncio.Event()
+
+    async def held(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_message(reader)
+        assert await reader.read() == b""
+        ended.set()
+
+    async def scene(world: World, running: Running) -> None:
+        _, writer = await running.connect()
+        writer.write(asked("a1", "submit-exam", body=b"x"))
+        await asyncio.sleep(0.1)
+        writer.close()
+        async with asyncio.timeout(0.5):
+            await ended.wait()
+
+    play(tmp_path, [held], scene)
+
+
+# Start, signals, surroundings
+
+
+@pytest.mark.parametrize(
+    ("spoil", "named"),
+    [
+        (lambda told: told.pop("listen"), "listen"),
+        (lambda told: told.update(listen="nowhere"), "listen"),
+        (lambda told: told.update(seed="xyz"), "seed"),
+        (lambda told: told["settings"].pop("Rules"), "Rules"),
+        (lambda told: told.update(platform={}), "platform"),
+    ],
+)
+def test_a_configuration_that_cannot_be_read_names_file_and_key(
+    tmp_path: Path, spoil: Callable[[dict[str, Any]], Any], named: str
+) -> None:
+    told = json.loads(json.dumps(configuration()))
+    spoil(told)
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(told))
+    with pytest.raises(Unreadable) as fault:
+        read({"PROXY_CONFIG": str(path)})
+    assert str(path) in str(fault.value) and named in str(fault.value)
+    with pytest.raises(Unreadable):
+        read({})
+
+
+def test_sigterm_goes_on_taking_and_loses_nothing(tmp_path: Path) -> None:
+    """Reqs in flight, on kept connections and on new ones for 0.4 s are answered; then it exits with 0."""
+
+    async def scene(world: World, running: Running) -> None:
+        reader, writer = await running.connect()
+        writer.write(asked("k0"))
+        await read_message(reader)
+        flying = asyncio.create_task(running.ask(asked("f1")))
+        await asyncio.sleep(0.05)
+        running.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        writer.write(asked("k1"))
+        assert status((await read_message(reader))[0]) == 200
+        await asyncio.sleep(0.05)
+        assert status(await running.ask(asked("n1"))) == 200
+        assert status(await flying) == 200
+        async with asyncio.timeout(2.5):
+            assert await running.process.wait() == 0
+
+    play(tmp_path, [answering(OK, 0.15)], scene)
+
+
+def test_sighup_moves_to_the_new_addresses_and_loses_nothing(tmp_path: Path) -> None:
+    async def scene(world: World, running: Running) -> None:
+        await asyncio.sleep(0.3)
+        assert world.notices
+        flying = [asyncio.create_task(running.ask(asked(f"f{number}"))) for number in range(3)]
+        await asyncio.sleep(0.05)
+        await world.surround(8111, 8112)
+        before, heard = world.lists, len(world.notices)
+        running.path.write_text("{")
+        running.process.send_signal(signal.SIGHUP)  # cannot be read: the old one stays
+        await asyncio.sleep(0.2)
+        assert len(world.notices) == heard
+        told = {**running.told, "discovery": f"{HOST}:8111"}
+        running.write({**told, "platform": {"address": f"{HOST}:8112"}})
+        running.process.send_signal(signal.SIGHUP)
+        world.tell()
+        async with asyncio.timeout(3):
+            while len(world.notices) == heard or world.lists == before:
+                await asyncio.sleep(0.02)
+        assert [status(answer) for answer in await asyncio.gather(*flying)] == [200] * 3
+
+    logged = play(tmp_path, [answering(OK, 0.3)], scene)
+    assert logged.count(b"configuration not understood") == 1 and b"configuration read again" in logged
+
+
+def test_a_box_that_returns_elsewhere_is_found_and_a_spoilt_list_changes_nothing(tmp_path: Path) -> None:
+    async def scene(world: World, running: Running) -> None:
+        assert status(await running.ask(asked("a1"))) == 200
+        world.members = [{"id": "nonsense"}]
+        world.tell()
+        await asyncio.sleep(0.2)
+        assert status(await running.ask(asked("a2"))) == 200
+        address = await world.serve(8300, answering(OK.replace(b"ok", b"ko")))
+        world.members = [{**entry_of("s-8200"), "host_port": address, "up_since_ms": 1}]
+        world.tell()
+        async with asyncio.timeout(6):
+            while not (await running.ask(asked(f"b{world.lists}{os.urandom(4).hex()}"))).endswith(b"ko"):
+                await asyncio.sleep(0.1)
+
+    play(tmp_path, [answering(OK)], scene)
+
+
+def entry_of(box: str) -> dict[str, Any]:
+    fields = {"locality": "a", "flavor": "m2", "cell": 0, "phase": "ready", "size": 1.0}
+    return {"id": box, "host_port": "", "version_no": 41, "up_since_ms": 0, **fields}
+
+
+def test_noise_from_the_control_service_ends_that_connection_and_nothing_else(tmp_path: Path) -> None:
+    async def scene(world: World, running: Running) -> None:
+        await asyncio.sleep(0.2)
+        world.notices[0].write(b"\xff\xfe noise " + b"x" * 9000 + b"\r\n")
+        async with asyncio.timeout(3):
+            while len(world.notices) < 2:
+                await asyncio.sleep(0.02)
+        assert status(await running.ask(asked("a1"))) == 200
+
+    assert b"news ended" in play(tmp_path, [answering(OK)], scene)
+
+
+def test_states_and_peers_texts() -> None:
+    assert STATE.fullmatch("42 1 IN_PROGRESS 0.28 310")
+    for spoilt in ("42 1 COMPLETE 0.28", "42 1 COMPLETE nan 310", "x 1 COMPLETE 1 0", "4 1 COMPLETE 1 0 0"):
+        assert not STATE.fullmatch(spoilt)
+    assert read_vote(vote_text(42, 1, Verdict.BACK)) == (42, 1, Verdict.BACK)
+    assert read_vote("42 1 9") is None
+
+
+def made_entrance(folder: Path) -> PlatformEntrance:
+    path = folder / "config.json"
+    path.write_text(json.dumps(configuration()))
+    start = read({"PROXY_CONFIG": str(path)})
+    assert start.grounds.routes["submit-exam"].repeats is Repeats.NON_RETRIABLE
+    return PlatformEntrance(start.grounds, start.terms, 256, lambda: 0.0)
+
+
+def test_ids_are_remembered_in_bounded_memory() -> None:
+    now = 100.0
+    marks = Marks(lambda: now)
+    for number in range(100_000):
+        assert marks.claim(str(number))
+        marks.open.discard(str(number))
+    assert not marks.claim("99999")
+    assert len(marks.lately) + len(marks.before) < 50_000 and not marks.open
+
+
+def test_an_admission_says_what_the_head_says(tmp_path: Path) -> None:
+    entrance = made_entrance(tmp_path)
+    fields = [(b"request-id", b"a1"), (b"request-class", b"load-item"), (b"request-timeout-ms", b"900")]
+    made = entrance.admit(Head(b"GET", b"/load-item?x=1", fields))
+    assert (made.route, made.mark, made.key) == ("load-item", "a1", None) and 0.85 < made.patience < 0.9
+    with pytest.raises(Fault):
+        entrance.admit(Head(b"GET", b"/load-item", fields[:2]))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -115,8 +115,8 @@
         self.bench.error = lambda req: self.on_answer(req, "error")
 
     def watch(self, gate):
-        def watched(req: Req, box: Box, now: float) -> bool:
-            answer = gate(req, box, now)
+        def watched(req: Req, box: Box, now: float, builds: dict[int, bool]) -> bool:
+            answer = gate(req, box, now, builds)
             assert answer is self.model.permits(req, box.id)
             return answer
         return watched
@@ -206,4 +206,4 @@
         getattr(play, name)(*args)
         for req in play.reqs[-3:]:
             for box in list(play.umpire.boxes.values()):
-                play.umpire.allowed(req, box, play.bench.clock)
+                play.umpire.allowed(req, box, play.bench.clock, {})
