--- /dev/null
+++ b/tests/test_platform_virtual.py
@@ -0,0 +1,135 @@
+"""The platform's umpire in memory and virtual time: what takes long there takes none here."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import anyio
+import pytest
+import trio.testing
+
+from gullmount.net import BROKEN, MemoryNet, Stream
+from gullmount.platform.serving import PlatformUmpire
+from gullmount.platform.told import read
+from tests.platform_world import HOST, OK, asked, configuration, entry
+
+BOX = f"{HOST}:8200"
+Answers = Callable[[Stream, bytes], Awaitable[None]]
+
+
+async def told(stream: Stream, data: bytes) -> None:
+    await stream.send(OK)
+
+
+async def silent(stream: Stream, data: bytes) -> None:
+    """Keeps the connection and says nothing."""
+
+
+class Scene:
+    def __init__(self, net: MemoryNet, umpire: PlatformUmpire, log: list[str]) -> None:
+        self.net, self.umpire, self.log = net, umpire, log
+        self.connections = 0
+
+    async def ask(self, data: bytes) -> bytes:
+        stream = await self.net.connect(f"{HOST}:8100")
+        await stream.send(data)
+        try:
+            return await stream.receive()
+        except BROKEN:
+            return b""
+        finally:
+            await stream.aclose()
+
+
+def play(folder: Path, answers: Answers, act: Callable[[Scene], Awaitable[None]]) -> None:
+    path = folder / "config.json"
+    known = {"revision": 1, "complete": True, "members": [entry("s-1", BOX)]}
+    path.write_text(json.dumps(configuration(known=known)))
+
+    async def scene() -> None:
+        net, log = MemoryNet(), list[str]()
+        async with anyio.create_task_group() as tasks:
+            net.running = tasks
+            umpire = PlatformUmpire(
+                read({"PROXY_CONFIG": str(path)}), net, lambda event, **fields: log.append(event),
+                wall=anyio.current_time,
+            )  # fmt: skip
+            made = Scene(net, umpire, log)
+
+            async def box(stream: Stream) -> None:
+                made.connections += 1
+                try:
+                    while True:
+                        await answers(stream, await stream.receive())
+                except BROKEN:
+                    pass
+
+            async def quiet(stream: Stream) -> None:
+                await anyio.sleep_forever()
+
+            for address, script in ((BOX, box), (f"{HOST}:8101", quiet), (f"{HOST}:8102", quiet)):
+                started = anyio.Event()
+                tasks.start_soon(net.serve, address, script, started)
+                await started.wait()
+            await umpire.serve(tasks)
+            await act(made)
+            tasks.cancel_scope.cancel()
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    anyio.run(scene, backend="trio", backend_options={"clock": clock})
+
+
+def test_a_connection_to_a_box_is_used_again_until_it_was_idle_for_the_told_time(tmp_path: Path) -> None:
+    async def act(scene: Scene) -> None:
+        for number in range(3):
+            assert (await scene.ask(asked(f"a{number}"))).endswith(b"\r\n\r\nok")
+        assert scene.connections == 1 and scene.umpire.host.upstream.open == 1
+        await anyio.sleep(17)
+        assert scene.umpire.host.upstream.open == 0 and not scene.umpire.host.upstream.pools
+        assert (await scene.ask(asked("b1"))).endswith(b"\r\n\r\nok")
+        assert scene.connections == 2
+
+    play(tmp_path, told, act)
+
+
+def test_patience_ends_a_try_and_its_connection_and_nothing_is_left(tmp_path: Path) -> None:
+    async def act(scene: Scene) -> None:
+        begun = anyio.current_time()
+        got = await scene.ask(asked("a1", "submit-exam", patience="900", body=b"x"))
+        assert got.startswith(b"HTTP/1.1 504 ") and 0.8 < anyio.current_time() - begun < 0.9
+        assert scene.umpire.host.upstream.open == 0 and not scene.umpire.host.exchanges
+        assert not scene.umpire.entrance.marks.open
+        await anyio.sleep(3)
+        assert not scene.umpire.doors.fronts and not scene.umpire.host.timers.waiting[4:]
+
+    play(tmp_path, silent, act)
+
+
+@pytest.mark.parametrize("asks", [0, 1])
+def test_a_client_connection_ends_once_it_is_of_no_use(tmp_path: Path, asks: int) -> None:
+    async def act(scene: Scene) -> None:
+        stream = await scene.net.connect(f"{HOST}:8100")
+        for number in range(asks):
+            await stream.send(asked(f"a{number}"))
+            await stream.receive()
+        begun = anyio.current_time()
+        with pytest.raises(BROKEN):
+            await stream.receive()
+        assert anyio.current_time() - begun < (8.5 if asks else 2.2)
+
+    play(tmp_path, told, act)
+
+
+def test_silent_surroundings_are_left_and_tried_again(tmp_path: Path) -> None:
+    """Discovery and control service accept and say nothing: neither is waited for without end."""
+
+    async def act(scene: Scene) -> None:
+        await anyio.sleep(30)
+        assert scene.log.count("watch ended") >= 3 and scene.log.count("news ended") >= 4
+        assert (await scene.ask(asked("a1"))).endswith(b"\r\n\r\nok")
+
+    play(tmp_path, told, act)
+
+
