Discovery and control service share their move; dead fields of the entrance out

Discovery and ControlService each had move, address, scope and a Spoilt of their own; DirectFront asked for the umpire's own answer twice; PlatformEntrance.ready and SocketTerms.votes_per_s were read by nobody. Change: one Watched and one Spoilt in platform/watched.py; the own answer is kept from the head to the end; the two fields are gone. Behaviour and tests as before.

--- a/gullmount/platform/control.py
+++ b/gullmount/platform/control.py
@@ -13,6 +13,7 @@
 
 from gullmount.interface import Phase, Verdict
 from gullmount.net import BROKEN, Net, Stream
+from gullmount.platform.watched import Spoilt, Watched
 from gullmount.umpire.host import DirectHost
 
 LINE_MOST = 8192  # bytes from which on a line ends its connection
@@ -34,10 +35,6 @@
 ERRORS = ("ERR BUSY", "ERR STALE", "ERR FAILED", "ERR SYNTAX")
 
 
-class Spoilt(Exception):
-    """What came cannot be read."""
-
-
 class Lines:
     """Lines as they come on one connection."""
 
@@ -60,16 +57,15 @@
             raise Spoilt("not text") from None
 
 
-class ControlService:
+class ControlService(Watched):
     """Lives as long as the instance."""
 
     def __init__(self, host: DirectHost, net: Net, address: str, vote_within: float) -> None:
         self.host = host
         self.net = net
-        self.address = address
+        super().__init__(address)
         self.vote_within = vote_within
         self.votes = anyio.Semaphore(VOTES_MOST)
-        self.scope: anyio.CancelScope | None = None
 
     def believe(self, news: dict[str, Any]) -> None:
         """The state as the configuration holds it. Raises Spoilt."""
@@ -85,13 +81,6 @@
             raise Spoilt("not a state")
         self.host.umpire.news(int(told[1]), int(told[2]), PHASES[told[3]], float(told[4]))
 
-    def move(self, address: str) -> None:
-        """Leave for another address at once."""
-        if address != self.address:
-            self.address = address
-            if self.scope is not None:
-                self.scope.cancel()
-
     async def watch(self) -> None:
         """Hear the news for ever."""
         wait = AGAIN
--- a/gullmount/platform/discovery.py
+++ b/gullmount/platform/discovery.py
@@ -14,6 +14,7 @@
 from gullmount.interface import BoxState, Listed, ListKind
 from gullmount.net import BROKEN, Net, Stream
 from gullmount.platform.entrance import PlatformEntrance
+from gullmount.platform.watched import Spoilt, Watched
 from gullmount.umpire.host import DirectHost
 from gullmount.umpire.messages import Answer
 from gullmount.umpire.wire import AnswerReader, End, Fault
@@ -47,11 +48,7 @@
     members: list[Entry]
 
 
-class Spoilt(Exception):
-    """A call that brought no list."""
-
-
-class Discovery:
+class Discovery(Watched):
     """Lives as long as the instance. `wall` is the clock of `up_since_ms`, in seconds."""
 
     def __init__(
@@ -65,11 +62,10 @@
         self.host = host
         self.entrance = entrance
         self.net = net
-        self.address = address
+        super().__init__(address)
         self.revision = 0
         self.ahead = host.now() - wall()  # of the wall clock: taken once, so that a start stays the same
         self.processes: dict[str, tuple[str, int, float]] = {}  # which process stands at a box's id
-        self.scope: anyio.CancelScope | None = None
 
     def believe(self, known: dict[str, Any]) -> None:
         """Begin from the list as it was last had. Raises Spoilt."""
@@ -84,13 +80,6 @@
             self.scope = anyio.CancelScope()
             self.host.tasks.start_soon(self.watch)
 
-    def move(self, address: str) -> None:
-        """Leave for another address at once."""
-        if address != self.address:
-            self.address = address
-            if self.scope is not None:
-                self.scope.cancel()
-
     async def watch(self) -> None:
         """Until it breaks; a move begins it anew."""
         while True:
--- a/gullmount/platform/entrance.py
+++ b/gullmount/platform/entrance.py
@@ -78,7 +78,6 @@
         self.retry_after = grounds.max_retry_after > 0
         self.marks = Marks(now)
         self.addresses: dict[str, str] = {}  # by box
-        self.ready = False
         self.clients = ClientBounds(
             head_most=HEAD_MOST,
             body_most=BODY_MOST,
--- a/gullmount/platform/serving.py
+++ b/gullmount/platform/serving.py
@@ -12,11 +12,11 @@
 
 from gullmount.net import Net
 from gullmount.platform.control import ControlService
-from gullmount.platform.control import Spoilt as SpoiltNews
-from gullmount.platform.discovery import Discovery, Spoilt
+from gullmount.platform.discovery import Discovery
 from gullmount.platform.entrance import PlatformEntrance
 from gullmount.platform.peers import Peers
 from gullmount.platform.told import Start, Unreadable, read
+from gullmount.platform.watched import Spoilt
 from gullmount.umpire.doors import DirectDoors
 from gullmount.umpire.host import LONG_AGO, DirectHost, Log, read_clock
 
@@ -58,7 +58,7 @@
                 self.discovery.believe(told.known)
             if told.platform.news is not None:
                 self.control.believe(told.platform.news)
-        except (Spoilt, SpoiltNews) as fault:
+        except Spoilt as fault:
             self.log("start not understood", why=str(fault))
         if told.peer_listen is not None and self.start.grounds.may_tell:
             peers = Peers(host, await self.net.datagrams(told.peer_listen), told.peers)
--- a/gullmount/profile.py
+++ b/gullmount/profile.py
@@ -48,7 +48,6 @@
     connect_within: float
     link_idle: float
     vote_within: float
-    votes_per_s: float
 
 
 def decode_socket_terms(profile: dict[str, Any]) -> SocketTerms:
@@ -59,7 +58,6 @@
         connect_within=seconds(ceilings["ConnectTimeoutUs"]),
         link_idle=seconds(ceilings["ConnIdleUs"]),
         vote_within=seconds(specifics["VoteWaitUs"]),
-        votes_per_s=specifics["VotesPerS"],
     )
 
 
--- a/gullmount/umpire/direct_front.py
+++ b/gullmount/umpire/direct_front.py
@@ -36,6 +36,7 @@
         self.exchange: Exchange | None = None
         self.head: Head | None = None  # of the req that is being read
         self.admission: Admission | None = None
+        self.own: Answer | None = None  # where it asks for the umpire itself
         self.body: list[bytes] = []
         self.size = 0
         self.ahead = 0
@@ -128,8 +129,8 @@
             if told is not None and int(told) > self.bounds.body_most:
                 raise Fault(413, "body too large")
             self.head = part
-            own = self.host.entrance.own_answer(part)
-            self.admission = self.host.entrance.admit(part) if own is None else None
+            self.own = self.host.entrance.own_answer(part)
+            self.admission = self.host.entrance.admit(part) if self.own is None else None
         elif isinstance(part, bytes):
             self.size += len(part)
             if self.size > self.bounds.body_kept:
@@ -144,9 +145,8 @@
         assert head is not None
         self.head, self.admission, self.body, self.size = None, None, [], 0
         if admission is None:
-            own = self.host.entrance.own_answer(head)
-            assert own is not None
-            self.write(own, own.headers, False)
+            assert self.own is not None
+            self.write(self.own, self.own.headers, False)
             return
         # A client's patience begins with its last byte: many write slowly, and the head says nothing of that.
         exchange = self.host.exchange(head, body, self.host.now(), admission)
