--- a/gullmount/benchlink/link.py
+++ b/gullmount/benchlink/link.py
@@ -18,7 +18,7 @@
     Verdict,
 )
 from gullmount.policy import Umpire
-from gullmount.profile import MICRO, VERDICTS, decode_grounds, read_vote, seconds, vote_text
+from gullmount.profile import MICRO, VERDICTS, Unfit, decode_grounds, read_vote, seconds, vote_text
 from gullmount.state import Req
 
 SHOWN = 200  # characters of a faulty line that are shown
@@ -119,8 +119,8 @@
         self.reqs: dict[str, Req] = {}
         try:
             grounds = decode_grounds(event["RngSeed"], event["ProfileData"])
-        except (KeyError, TypeError, ValueError, AttributeError) as fault:
-            raise Malformed(f"Spawn: field ProfileData does not hold what it must: {fault}") from None
+        except Unfit as fault:
+            raise Malformed(f"Spawn: field ProfileData: {fault}") from None
         self.routes = grounds.routes
         self.umpire = Umpire(self, grounds)
 
--- a/gullmount/platform/told.py
+++ b/gullmount/platform/told.py
@@ -10,7 +10,7 @@
 
 from gullmount.interface import Grounds
 from gullmount.net.types import split
-from gullmount.profile import SocketTerms, decode_grounds, decode_socket_terms
+from gullmount.profile import SocketTerms, Unfit, decode_grounds, decode_socket_terms
 
 
 class Unreadable(Exception):
@@ -75,9 +75,7 @@
         raise Unreadable(f"{path}: seed: not a hexadecimal number") from None
     try:
         return Start(told, decode_grounds(seed, told.settings), decode_socket_terms(told.settings))
-    except KeyError as fault:
-        raise Unreadable(f"{path}: settings: no {fault}") from None
-    except (TypeError, ValueError, AttributeError) as fault:
+    except Unfit as fault:
         raise Unreadable(f"{path}: settings: {fault}") from None
 
 
--- a/gullmount/profile.py
+++ b/gullmount/profile.py
@@ -1,6 +1,8 @@
 """The settings as the simulator's first message and the platform's configuration hold them, decoded once.
 
-Times are in microseconds there and float seconds here. Also the text by which umpires tell each other a vote.
+Times are in microseconds there and float seconds here. What is not read is skipped; what is read and missing,
+of the wrong type or out of range is a fault that names its place. Also the text by which umpires tell each
+other a vote.
 """
 
 from __future__ import annotations
@@ -8,7 +10,8 @@
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any
+from math import inf, isfinite
+from typing import Any, TypeVar
 
 from gullmount.interface import Grounds, Group, ReleaseTerms, Repeats, Route, Verdict
 
@@ -16,6 +19,8 @@
 VERDICTS = {Verdict.NONE: 0, Verdict.ON: 1, Verdict.HOLD: 2, Verdict.BACK: 3}
 SENSES = {sense: verdict for verdict, sense in VERDICTS.items()}
 VOTE_TOLD = re.compile(r"(\d{1,5}) (\d{1,3}) ([0-3])", re.ASCII)  # build, stage and sense of a peer's vote
+LEAST = 1e-6  # of what the module divides by: a microsecond, the settings' unit, or as small a number
+GROUPS = {group.value: group for group in Group}
 REPEATS = {
     "idempotent": Repeats.RETRIABLE,
     "deduplicated": Repeats.DEDUPED,
@@ -23,10 +28,104 @@
 }
 
 
-def seconds(micros: int | None) -> float:
+COUNTED_BY = {"all": False, "class": True}
+GATES = {"any": False, "share": False, "timer": True}
+DISCOVERY = {"automatic": False, "subscribe": True}
+
+Meaning = TypeVar("Meaning")
+
+
+class Unfit(Exception):
+    """The settings do not hold what they must; the text names the place."""
+
+
+def seconds(micros: float | None) -> float:
     return (micros or 0) / MICRO
 
 
+class Section:
+    """One object of the settings, known by its place in them. Its calls raise Unfit.
+
+    Guards against a value that is only used, and only fails, once traffic runs.
+    """
+
+    def __init__(self, held: Any, place: str = "") -> None:
+        if not isinstance(held, dict):
+            raise Unfit(f"{place or 'settings'}: not an object")
+        self.held = held
+        self.place = place
+
+    def named(self, name: str) -> str:
+        return f"{self.place}.{name}" if self.place else name
+
+    def value(self, name: str) -> Any:
+        """A null stands for an absent one, as everywhere on the wire."""
+        value = self.held.get(name)
+        if value is None:
+            raise Unfit(f"{self.named(name)}: missing")
+        return value
+
+    def section(self, name: str) -> Section:
+        return Section(self.value(name), self.named(name))
+
+    def listed(self, name: str) -> list[Any]:
+        value = self.value(name)
+        if not isinstance(value, list) or not value:
+            raise Unfit(f"{self.named(name)}: not a list with entries")
+        return value
+
+    def sections(self, name: str) -> list[Section]:
+        held = enumerate(self.listed(name))
+        return [Section(value, f"{self.named(name)}[{number}]") for number, value in held]
+
+    def numbers(self, name: str, least: float, most: float) -> list[float]:
+        held = enumerate(self.listed(name))
+        return [check_number(value, f"{self.named(name)}[{at}]", least, most) for at, value in held]
+
+    def number(self, name: str, least: float = 0.0, most: float = inf) -> float:
+        return check_number(self.value(name), self.named(name), least, most)
+
+    def whole(self, name: str, least: int = 0) -> int:
+        value = self.number(name, least)
+        if value != int(value):
+            raise Unfit(f"{self.named(name)}: not a whole number")
+        return int(value)
+
+    def span(self, name: str, least: float = 0.0) -> float:
+        """Seconds; `least` in microseconds, as the settings count."""
+        return seconds(self.number(name, least))
+
+    def text(self, name: str) -> str:
+        return check_text(self.value(name), self.named(name))
+
+    def flag(self, name: str) -> bool:
+        value = self.value(name)
+        if not isinstance(value, bool):
+            raise Unfit(f"{self.named(name)}: not true or false")
+        return value
+
+    def meaning(self, name: str, table: Mapping[str, Meaning]) -> Meaning:
+        word = self.text(name)
+        if word not in table:
+            raise Unfit(f"{self.named(name)}: no such value: {word[:20]!r}")
+        return table[word]
+
+
+def check_number(value: Any, place: str, least: float, most: float) -> float:
+    """As it came, whole or not. JSON's true is no number, though Python counts it as one."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value):
+        raise Unfit(f"{place}: not a number")
+    if not least <= value <= most:
+        raise Unfit(f"{place}: out of range")
+    return value
+
+
+def check_text(value: Any, place: str) -> str:
+    if not isinstance(value, str) or not value:
+        raise Unfit(f"{place}: not a text")
+    return value
+
+
 def vote_text(build: int, stage: int, verdict: Verdict) -> str:
     return f"{build} {stage} {VERDICTS[verdict]}"
 
@@ -51,56 +150,61 @@
 
 
 def decode_socket_terms(profile: dict[str, Any]) -> SocketTerms:
-    """Raises KeyError, TypeError, ValueError or AttributeError where the settings do not hold it."""
-    ceilings, specifics = profile["Ceilings"], profile["Specifics"]
+    """Raises Unfit where the settings do not hold it."""
+    told = Section(profile)
+    ceilings = told.section("Ceilings")
     return SocketTerms(
-        timeouts={grade["Name"]: seconds(grade["DeadlineUs"]) for grade in profile["Grades"]},
-        connect_within=seconds(ceilings["ConnectTimeoutUs"]),
-        link_idle=seconds(ceilings["ConnIdleUs"]),
-        vote_within=seconds(specifics["VoteWaitUs"]),
+        timeouts={grade.text("Name"): grade.span("DeadlineUs", 1) for grade in told.sections("Grades")},
+        connect_within=ceilings.span("ConnectTimeoutUs", 1),
+        link_idle=ceilings.span("ConnIdleUs"),
+        vote_within=told.section("Specifics").span("VoteWaitUs", 1),
+    )
+
+
+def decode_route(grade: Section) -> Route:
+    repeats = grade.meaning("Semantics", REPEATS)
+    grouped = repeats is Repeats.DEDUPED  # for others a group and its window say nothing, and may be absent
+    return Route(
+        name=grade.text("Name"),
+        objective=grade.span("ObjectiveUs", 1),
+        repeats=repeats,
+        group=grade.meaning("Group", GROUPS) if grouped else Group.ALL,
+        dedupe_window=grade.span("WindowUs") if grouped else 0.0,
     )
 
 
 def decode_grounds(seed: int, profile: dict[str, Any]) -> Grounds:
-    """Raises KeyError, TypeError, ValueError or AttributeError where the settings do not hold it."""
-    ceilings, rules, specifics = profile["Ceilings"], profile["Rules"], profile["Specifics"]
-    routes = {
-        grade["Name"]: Route(
-            name=grade["Name"],
-            objective=seconds(grade["ObjectiveUs"]),
-            repeats=REPEATS[grade["Semantics"]],
-            group=Group(grade.get("Group") or "all"),
-            dedupe_window=seconds(grade.get("WindowUs")),
-        )
-        for grade in profile["Grades"]
-    }
+    """Raises Unfit where the settings do not hold it."""
+    told = Section(profile)
+    ceilings, rules, specifics = told.section("Ceilings"), told.section("Rules"), told.section("Specifics")
+    routes = [decode_route(grade) for grade in told.sections("Grades")]
     release = ReleaseTerms(
-        caps=specifics["ExposureCaps"],
-        by_route=specifics["CountedBy"] == "class",
-        closed_stages=specifics["ClosedStages"],
-        one_way=specifics["OneWay"],
-        window=seconds(specifics["SpanUs"]),
-        spare_tries=specifics["SpareTries"],
-        timed=specifics["GateMode"] == "timer",
-        vote_life=seconds(specifics["VoteLifeUs"]),
-        to_advance=specifics["ToAdvance"],
-        back_votes=specifics["BackVotes"],
-        votes_per_s=specifics["VotesPerS"],
-        tally_period=seconds(specifics["MetricsPeriodUs"]),
+        caps=specifics.numbers("ExposureCaps", 0.0, 1.0),
+        by_route=specifics.meaning("CountedBy", COUNTED_BY),
+        closed_stages=specifics.whole("ClosedStages"),
+        one_way=specifics.flag("OneWay"),
+        window=specifics.span("SpanUs"),
+        spare_tries=specifics.number("SpareTries"),
+        timed=specifics.meaning("GateMode", GATES),
+        vote_life=specifics.span("VoteLifeUs"),
+        to_advance=specifics.whole("ToAdvance"),
+        back_votes=specifics.whole("BackVotes"),
+        votes_per_s=specifics.number("VotesPerS", LEAST),
+        tally_period=specifics.span("MetricsPeriodUs"),
     )
     return Grounds(
         seed=seed,
-        routes=routes,
+        routes={route.name: route for route in routes},
         release=release,
-        zone=profile["Zone"],
-        number=profile["Me"],
-        umpires=profile["Siblings"],
-        may_tell=ceilings["Peers"],
-        link_idle=seconds(ceilings["ConnIdleUs"]),
-        cold_share=rules["ColdFrom"],
-        warm_time=seconds(rules["WarmAfterUs"]),
-        tip_multiple=rules["TipMultiple"],
-        max_tries=ceilings["MaxAttempts"],
-        may_subscribe=profile["Discovery"] == "subscribe",
-        max_retry_after=seconds(ceilings["MaxRetryAfterUs"]) if ceilings["RetryAfter"] else 0.0,
+        zone=told.text("Zone"),
+        number=told.whole("Me"),
+        umpires=told.whole("Siblings", 1),
+        may_tell=ceilings.flag("Peers"),
+        link_idle=ceilings.span("ConnIdleUs"),
+        cold_share=rules.number("ColdFrom", LEAST, 1.0),
+        warm_time=max(LEAST, rules.span("WarmAfterUs")),  # 0: a box is warm at once
+        tip_multiple=rules.number("TipMultiple", LEAST),
+        max_tries=ceilings.whole("MaxAttempts", 1),
+        may_subscribe=told.meaning("Discovery", DISCOVERY),
+        max_retry_after=ceilings.span("MaxRetryAfterUs") if ceilings.flag("RetryAfter") else 0.0,
     )
--- /dev/null
+++ b/tests/platform_scene.py
@@ -0,0 +1,89 @@
+"""The platform's umpire in memory and virtual time, between surroundings that a test scripts."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+import anyio
+import trio.testing
+
+from gullmount.net import BROKEN, MemoryNet, Stream
+from gullmount.platform.serving import PlatformUmpire
+from gullmount.platform.told import read
+from tests.platform_world import HOST, OK, configuration, entry
+
+BOX = f"{HOST}:8200"
+Answers = Callable[[Stream, bytes], Awaitable[None]]
+Script = Callable[[Stream], Awaitable[None]]
+
+
+async def told(stream: Stream, data: bytes) -> None:
+    await stream.send(OK)
+
+
+async def silent(stream: Stream, data: bytes) -> None:
+    """Keeps the connection and says nothing."""
+
+
+class Scene:
+    def __init__(self, net: MemoryNet, umpire: PlatformUmpire, log: list[str]) -> None:
+        self.net, self.umpire, self.log = net, umpire, log
+        self.connections = 0
+
+    async def ask(self, data: bytes) -> bytes:
+        stream = await self.net.connect(f"{HOST}:8100")
+        await stream.send(data)
+        try:
+            return await stream.receive()
+        except BROKEN:
+            return b""
+        finally:
+            await stream.aclose()
+
+
+def play(
+    folder: Path,
+    answers: Answers,
+    act: Callable[[Scene], Awaitable[None]],
+    around: Mapping[int, Script] | None = None,
+    **changes: Any,
+) -> None:
+    """`around` says who serves at which port of discovery's and the control service's, silent otherwise."""
+    path = folder / "config.json"
+    known = {"revision": 1, "complete": True, "members": [entry("s-1", BOX)]}
+    path.write_text(json.dumps(configuration(known=known, **changes)))
+
+    async def scene() -> None:
+        net, log = MemoryNet(), list[str]()
+        async with anyio.create_task_group() as tasks:
+            net.running = tasks
+            umpire = PlatformUmpire(
+                read({"PROXY_CONFIG": str(path)}), net, lambda event, **fields: log.append(event),
+                wall=anyio.current_time,
+            )  # fmt: skip
+            made = Scene(net, umpire, log)
+
+            async def box(stream: Stream) -> None:
+                made.connections += 1
+                try:
+                    while True:
+                        await answers(stream, await stream.receive())
+                except BROKEN:
+                    pass
+
+            async def quiet(stream: Stream) -> None:
+                await anyio.sleep_forever()
+
+            for port, script in {8200: box, 8101: quiet, 8102: quiet, **(around or {})}.items():
+                started = anyio.Event()
+                tasks.start_soon(net.serve, f"{HOST}:{port}", script, started)
+                await started.wait()
+            await umpire.serve(tasks)
+            await act(made)
+            tasks.cancel_scope.cancel()
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    anyio.run(scene, backend="trio", backend_options={"clock": clock})
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -56,6 +56,7 @@
     ([{"verb": "Nonsense"}], ["Nonsense"]),
     ([{"verb": "Sync"}], ["Sync", "TsUs"]),
     ([SYNC, {**SPAWN, "ProfileData": {}}], ["Spawn", "ProfileData"]),
+    ([SYNC, {**SPAWN, "ProfileData": {**PROFILE, "Me": "x"}}], ["Spawn", "ProfileData: Me: not a number"]),
     ([SYNC, SPAWN, {**TAKE, "Grade": "no"}], ["NewRequest", "Grade"]),
     ([SYNC, SPAWN, PAGE, FLEET, TAKE, {**RESULT, "Disposition": 999}], ["Result", "Disposition"]),
     ([SYNC, SPAWN, {**FLEET, "Buffer": 5}], ["Fleet", "Buffer"]),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -297,7 +297,15 @@
         (lambda told: told.pop("listen"), "listen"),
         (lambda told: told.update(listen="nowhere"), "listen"),
         (lambda told: told.update(seed="xyz"), "seed"),
-        (lambda told: told["settings"].pop("Rules"), "Rules"),
+        (lambda told: told["settings"].pop("Rules"), "settings: Rules: missing"),
+        (lambda told: told["settings"].update(Siblings=0), "settings: Siblings: out of range"),
+        (lambda told: told["settings"].update(Zone=None), "settings: Zone: missing"),
+        (lambda told: told["settings"]["Ceilings"].update(Peers=1), "Ceilings.Peers: not true or false"),
+        (lambda told: told["settings"]["Rules"].update(ColdFrom=True), "Rules.ColdFrom: not a number"),
+        (lambda told: told["settings"]["Specifics"].update(GateMode="oracle"), "GateMode: no such value"),
+        (lambda told: told["settings"]["Specifics"].update(BackVotes=1.5), "BackVotes: not a whole number"),
+        (lambda told: told["settings"]["Specifics"].update(ExposureCaps=[0.1, 2]), "ExposureCaps[1]: out of"),
+        (lambda told: told["settings"]["Grades"][1].update(ObjectiveUs="1"), "Grades[1].ObjectiveUs: not a"),
         (lambda told: told.update(platform={}), "platform"),
     ],
 )
@@ -315,6 +323,18 @@
         read({})
 
 
+def test_settings_hold_more_or_less_than_is_read(tmp_path: Path) -> None:
+    """Unknown ones are skipped; a group and its window may be absent where no route is deduped by them."""
+    told = json.loads(json.dumps(configuration()))
+    rules = told["settings"]["Rules"]
+    told["settings"] |= {"Novelty": [None], "Rules": {**rules, "More": {}, "WarmAfterUs": 0}}
+    del told["settings"]["Grades"][0]["Group"], told["settings"]["Grades"][0]["WindowUs"]
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(told))
+    start = read({"PROXY_CONFIG": str(path)})
+    assert start.grounds.warm_time > 0 and start.grounds.routes["load-item"].repeats is Repeats.RETRIABLE
+
+
 def test_sigterm_goes_on_taking_and_loses_nothing(tmp_path: Path) -> None:
     """Reqs in flight, on kept connections and on new ones for 0.4 s are answered; then it exits with 0."""
 
--- a/tests/test_platform_virtual.py
+++ b/tests/test_platform_virtual.py
@@ -2,84 +2,15 @@
 
 from __future__ import annotations
 
-import json
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
 import anyio
 import pytest
-import trio.testing
-
-from gullmount.net import BROKEN, MemoryNet, Stream
-from gullmount.platform.serving import PlatformUmpire
-from gullmount.platform.told import read
-from tests.platform_world import HOST, OK, asked, configuration, entry
-
-BOX = f"{HOST}:8200"
-Answers = Callable[[Stream, bytes], Awaitable[None]]
-
-
-async def told(stream: Stream, data: bytes) -> None:
-    await stream.send(OK)
-
-
-async def silent(stream: Stream, data: bytes) -> None:
-    """Keeps the connection and says nothing."""
-
-
-class Scene:
-    def __init__(self, net: MemoryNet, umpire: PlatformUmpire, log: list[str]) -> None:
-        self.net, self.umpire, self.log = net, umpire, log
-        self.connections = 0
-
-    async def ask(self, data: bytes) -> bytes:
-        stream = await self.net.connect(f"{HOST}:8100")
-        await stream.send(data)
-        try:
-            return await stream.receive()
-        except BROKEN:
-            return b""
-        finally:
-            await stream.aclose()
-
-
-def play(folder: Path, answers: Answers, act: Callable[[Scene], Awaitable[None]]) -> None:
-    path = folder / "config.json"
-    known = {"revision": 1, "complete": True, "members": [entry("s-1", BOX)]}
-    path.write_text(json.dumps(configuration(known=known)))
-
-    async def scene() -> None:
-        net, log = MemoryNet(), list[str]()
-        async with anyio.create_task_group() as tasks:
-            net.running = tasks
-            umpire = PlatformUmpire(
-                read({"PROXY_CONFIG": str(path)}), net, lambda event, **fields: log.append(event),
-                wall=anyio.current_time,
-            )  # fmt: skip
-            made = Scene(net, umpire, log)
-
-            async def box(stream: Stream) -> None:
-                made.connections += 1
-                try:
-                    while True:
-                        await answers(stream, await stream.receive())
-                except BROKEN:
-                    pass
-
-            async def quiet(stream: Stream) -> None:
-                await anyio.sleep_forever()
-
-            for address, script in ((BOX, box), (f"{HOST}:8101", quiet), (f"{HOST}:8102", quiet)):
-                started = anyio.Event()
-                tasks.start_soon(net.serve, address, script, started)
-                await started.wait()
-            await umpire.serve(tasks)
-            await act(made)
-            tasks.cancel_scope.cancel()
-
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    anyio.run(scene, backend="trio", backend_options={"clock": clock})
+
+from gullmount.net import BROKEN, Stream
+from tests.platform_scene import Answers, Scene, play, silent, told
+from tests.platform_world import HOST, OK, asked
 
 
 def test_a_connection_to_a_box_is_used_again_until_it_was_idle_for_the_told_time(tmp_path: Path) -> None:
