A list's connection is left after a good answer that ends it, and another opened at once

Lines at fault: the end of `Discovery.call`, which threw `reader.keep` and `reader.fault` away. What followed: a broken call and 1 to 3 s without a watch, or, where bytes behind the answer came late, those taken for the next answer. Change: `call` says whether the connection may carry another; `watch_at` ends there and `watch` opens the next at once.

--- a/gullmount/platform/discovery.py
+++ b/gullmount/platform/discovery.py
@@ -86,7 +86,8 @@
             self.scope = anyio.CancelScope()
             with self.scope:
                 try:
-                    await self.watch_at(self.address)
+                    while True:
+                        await self.watch_at(self.address)
                 except (Spoilt, Fault, TimeoutError, *BROKEN) as fault:
                     self.host.write_log("watch ended", why=f"{type(fault).__name__} {fault}")
                 break
@@ -94,12 +95,14 @@
         self.host.umpire.listed(ListKind.REFUSED, [])
 
     async def watch_at(self, address: str) -> None:
+        """Until the connection may not be used again after a good answer; then another is opened at once."""
         with anyio.fail_after(CONNECT_WITHIN):
             stream = await self.net.connect(address)
         try:
-            while True:
+            kept = True
+            while kept:
                 with anyio.fail_after(WAIT + SLACK):
-                    data = await self.call(stream, address)
+                    data, kept = await self.call(stream, address)
                 try:
                     page = msgspec.json.decode(data, type=Page)
                 except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
@@ -108,8 +111,12 @@
         finally:
             await anyio.aclose_forcefully(stream)
 
-    async def call(self, stream: Stream, address: str) -> bytes:
-        """One call on the watch's connection. Raises Spoilt, Fault or what a broken stream does."""
+    async def call(self, stream: Stream, address: str) -> tuple[bytes, bool]:
+        """One call on the watch's connection: the body, and whether the connection may carry another.
+
+        Guards against what stands behind a good answer: it would be taken for the next one. Raises Spoilt,
+        Fault or what a broken stream does.
+        """
         target = f"/v1/servers?after={self.revision}&wait_ms={round(WAIT * 1000)}"
         await stream.send(f"GET {target} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode())
         reader = AnswerReader(HEAD_MOST, "GET")
@@ -130,9 +137,7 @@
                     raise Spoilt("list too long")
                 body.append(part)
             elif isinstance(part, End):
-                if not reader.keep or reader.fault is not None:
-                    self.host.write_log("watch ends after this answer")
-                return b"".join(body)
+                return b"".join(body), reader.keep and reader.fault is None and not reader.parts
 
     def hear(self, page: Page, kind: ListKind) -> None:
         lines = [self.listed(entry) for entry in page.members]
--- a/tests/test_platform_virtual.py
+++ b/tests/test_platform_virtual.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from pathlib import Path
 from typing import Any
 
@@ -86,3 +87,28 @@
     play(tmp_path, told, act)
 
 
+
+
+@pytest.mark.parametrize("tail", [b"", b"noise", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"])
+def test_behind_a_good_list_that_ends_its_connection_another_is_opened(tmp_path: Path, tail: bytes) -> None:
+    """What stands behind an answer is not taken for the next, and the watch goes on at once."""
+    calls: list[float] = []
+
+    async def discovery(stream: Stream) -> None:
+        await stream.receive()
+        calls.append(anyio.current_time())
+        page = {"revision": 1 + len(calls), "complete": False, "members": []}
+        body = json.dumps(page).encode()
+        closes = b"" if tail else b"Connection: close\r\n"
+        await anyio.sleep(0.5)
+        head = b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n" % (closes, len(body))
+        await stream.send(head + body + tail)
+        with pytest.raises(BROKEN):
+            await stream.receive()
+
+    async def act(scene: Scene) -> None:
+        await anyio.sleep(3.2)
+        assert len(calls) == 7 and scene.umpire.discovery.revision == 7
+        assert "watch ended" not in scene.log
+
+    play(tmp_path, told, act, {8101: discovery})
