--- a/gullmount/platform/serving.py
+++ b/gullmount/platform/serving.py
@@ -21,6 +21,8 @@
 from gullmount.umpire.host import LONG_AGO, DirectHost, Log, read_clock
 
 COMING = 0.55  # s after SIGTERM in which reqs are still taken: clients come for 0.4 s
+LATENESS_EVERY = 5.0  # s between notes of how late the loop came
+LATE = 0.05  # s from which that is noted: a sixth of a usual objective, which then reads as slowness of boxes
 
 
 class PlatformUmpire:
@@ -68,8 +70,16 @@
         tasks.start_soon(self.control.watch)
         tasks.start_soon(self.doors.listen, told.listen)
         await self.doors.listening.wait()
+        tasks.start_soon(self.note_lateness)
         self.log("listening", address=told.listen)
 
+    async def note_lateness(self) -> None:
+        while True:
+            await anyio.sleep(LATENESS_EVERY)
+            latest = self.host.timers.take_latest()
+            if latest > LATE:
+                self.log("loop late", most=round(latest, 3))
+
     def move(self, start: Start) -> None:
         """The configuration was replaced: only addresses move, the settings stay those of the start."""
         self.discovery.move(start.told.discovery)
--- a/gullmount/umpire/timers.py
+++ b/gullmount/umpire/timers.py
@@ -31,6 +31,7 @@
         self.order = count()
         self.sooner = anyio.Event()
         self.looks_at = 0.0  # when the task looks next
+        self.latest = 0.0  # s that a look came too late at most, until it is asked for
 
     def after(self, delay: float, callback: Callable[[], None]) -> Timer:
         """Call it in `delay` seconds."""
@@ -41,6 +42,11 @@
             self.sooner.set()
         return timer
 
+    def take_latest(self) -> float:
+        """Seconds that the loop, kept from running or busy, came too late at most since the last call."""
+        latest, self.latest = self.latest, 0.0
+        return latest
+
     async def run(self) -> None:
         while True:
             now = self.clock()
@@ -49,8 +55,10 @@
                 if timer.callback is not None:
                     timer.callback()
             self.looks_at = self.waiting[0][0] if self.waiting else float("inf")
-            with anyio.move_on_after(self.looks_at - now):
+            with anyio.move_on_after(self.looks_at - now) as scope:
                 await self.sooner.wait()
+            if scope.cancelled_caught:
+                self.latest = max(self.latest, self.clock() - self.looks_at)
             if self.sooner.is_set():
                 self.sooner = anyio.Event()
             self.looks_at = 0.0
--- a/tests/test_platform_virtual.py
+++ b/tests/test_platform_virtual.py
@@ -112,3 +112,21 @@
         assert "watch ended" not in scene.log
 
     play(tmp_path, told, act, {8101: discovery})
+
+
+def test_a_loop_that_stood_still_is_noted(tmp_path: Path) -> None:
+    """Else slowness that is the umpire's own reads as the boxes' and nobody can tell."""
+
+    async def act(scene: Scene) -> None:
+        await anyio.sleep(6)
+        assert "loop late" not in scene.log
+        clock = scene.umpire.host.timers.clock
+        behind = 0.0
+        scene.umpire.host.timers.clock = lambda: clock() + behind
+        scene.umpire.host.timers.after(0.0, lambda: None)
+        await anyio.sleep(1)
+        behind = 0.3
+        await anyio.sleep(5)
+        assert scene.log.count("loop late") == 1
+
+    play(tmp_path, told, act)
