--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -11,8 +11,8 @@
 import random
 from collections import defaultdict, deque
 from collections.abc import Iterable, Sequence
-from math import ceil, e, log, sqrt
-from statistics import NormalDist, median
+from math import ceil, e, inf, log, sqrt
+from statistics import NormalDist, fmean, median
 
 from gullmount import samples
 from gullmount.blame import inquest_of
@@ -220,6 +220,8 @@
         self.seen: dict[tuple[int, str], deque[Seen]] = defaultdict(lambda: deque(maxlen=SEEN_MOST))
         self.base_counts: dict[str, tuple[int, int, float]] = {}
         self.warm_part = 1.0  # of the capacity of all ready boxes
+        self.taken = 0  # reqs since the last look, less those that ended unserved: these mostly come again
+        self.loads: deque[int] = deque(maxlen=round(SIGHT / JUDGE_EVERY))
         self.proof = Proof(grounds)
         self.inquest = inquest_of(grounds)
         if grounds.may_subscribe:
@@ -268,6 +270,7 @@
         if sum(map(len, trial.calm.values())) < self.proof.slow_least:
             # An umpire started during the trial has no times from before: its first ones must do.
             trial.calm = samples.times_since(self.seen, 0.0)
+            trial.usual_load = fmean(self.loads or [0])
         if phase in TAKEN_OFF:
             self.met = {place: met for place, met in self.met.items() if met != build}
             trial.crowded = False
@@ -325,6 +328,7 @@
         now = self.host.now()
         req = Req(self, req_id, self.grounds.routes[route], give_up, key, samples.place(key or req_id))
         self.ledger(req).took(now, now - self.release.window)
+        self.taken += 1
         self.retries = min(self.retry_room, self.retries + RETRY_RATIO)
         self.advance(req)
         return req
@@ -346,6 +350,7 @@
             late = outcome is not Outcome.COMPLETED or latency > LATE * req.route.objective
             width.note(late, len(self.pools.get(made.build, ())), now)
         req.settled = req.settled or final
+        self.taken -= outcome is Outcome.CANCELLED
         if outcome is Outcome.COMPLETED:
             phases = {trial.phase for trial in self.trials}
             kept = Phase.ON_TRIAL in phases or (self.release.one_way and Phase.RELEASED in phases)
@@ -387,6 +392,7 @@
         hopeful = req.give_up - now > HOPE * self.usual(now) * req.route.objective
         box = self.pick(req, now) if hopeful and (not req.tries or self.retries >= 1) else None
         req.settled = box is None
+        self.taken -= req.settled
         if box is not None:
             self.send(req, box, now)
         elif self.may_shed(req):
@@ -618,6 +624,8 @@
         self.host.call_after(JUDGE_EVERY, self.judge)
         now = self.host.now()
         self.update_share(now)
+        self.loads.append(self.taken)
+        self.taken = 0
         for part, outcomes in list(self.seen.items()):
             while outcomes and outcomes[0].at < now - SIGHT:
                 outcomes.popleft()
@@ -644,8 +652,9 @@
         worse = {route for route, cand in cands.items() if self.fails_more(cand, bases[route], least)}
         trial.failing |= worse
         recent = samples.times_since(self.seen, now - 2 * span)
-        # Cold boxes take capacity away: as much slowness is not the build's.
-        excess = log(self.slowness(recent, trial.calm) * self.warm_part / SHARED_RATIO)
+        # Cold boxes take capacity away, and load grows: as much slowness is not the build's.
+        grown = fmean(list(self.loads)[-round(2 * span / JUDGE_EVERY) :]) / (trial.usual_load or inf)
+        excess = log(self.slowness(recent, trial.calm) * self.warm_part / (SHARED_RATIO * max(1.0, grown)))
         if self.link_fails > LINK_LOST:
             excess = min(0.0, excess)  # lost boxes or links slow the others, whatever the build
         weight = trial.share if trial.phase is Phase.ON_TRIAL else RELEASED_WEIGHT
--- a/gullmount/state.py
+++ b/gullmount/state.py
@@ -48,6 +48,7 @@
         self.crowded = False  # whether more keys met it than are remembered one by one
         self.failing: set[str] = set()
         self.calm: Times = {}
+        self.usual_load = 0.0  # reqs a look of the judge before it began
         self.counts = Counts()
         self.slowed = 0.0
         self.released_at = 0.0
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -230,6 +230,28 @@
         assert (Verdict.BACK in verdicts(bench)) is back
 
 
+@pytest.mark.parametrize(("grown", "unserved", "back"), [(1, 0, True), (3, 0, False), (3, 2, True)])
+def test_slowness_is_laid_to_a_load_that_has_grown(grown: int, unserved: int, back: bool) -> None:
+    """Guards against a good build that goes back in a burst. Clients that come again are no new load."""
+    bench = released()
+    bench.list_boxes(EARLIER | TRIAL)
+
+    def load(span: float, reqs: int, latency: float) -> None:
+        for _ in range(round(span / 0.1)):
+            for number in range(reqs):
+                req = bench.take("look", f"k{bench.count}")
+                lost = number < unserved and reqs > 1
+                if lost:
+                    req.left()
+                bench.finish(req, Outcome.CANCELLED if lost else OK, latency)
+            bench.pass_time(0.1)
+
+    load(10.0, 1, 0.1)
+    bench.trial(stage=1, cap=0.5)
+    load(8.0, grown, 0.28)
+    assert (Verdict.BACK in verdicts(bench)) is back
+
+
 def test_late_answers_narrow_the_bound_and_good_ones_widen_it() -> None:
     bench = released(max_tries=1)
     reqs = [bench.take("pay") for _ in range(20)]
