--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -661,7 +661,10 @@
         trial.slowed = max(0.0, trial.slowed + excess * weight * JUDGE_EVERY)
         shared = trial.slowed >= self.proof.slowed
         whole = (samples.without_slowest(side, self.proof.spared) for side in (cands, bases))
-        slow = self.slowness(*(samples.sliced(side, span) for side in whole)) > SLOW_RATIO
+        ratio = self.slowness(*(samples.sliced(side, span) for side in whole))
+        # The quickest boxes take most reqs: where the build's are few, that alone would make it read as slow.
+        more, error = samples.between_boxes(cands, bases, BASE_LEAST) if ratio > SLOW_RATIO else (0.0, 0.0)
+        slow = more > self.proof.least_z * error
         counted = self.tally_worse(trial.counts)
         if worse or slow or counted or (shared and new):
             why = f"failing {sorted(worse)}, slow {slow}, tallies {counted}, all slow {shared}"
--- a/gullmount/samples.py
+++ b/gullmount/samples.py
@@ -6,6 +6,7 @@
 from collections import defaultdict, deque
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from hashlib import blake2b
+from math import log, sqrt
 from statistics import fmean, median
 from typing import NamedTuple
 
@@ -117,6 +118,33 @@
     return {route: [one for one in seen if one.box not in slowest] for route, seen in outcomes.items()}
 
 
+def between_boxes(
+    cands: Mapping[str, Iterable[Seen]], bases: Mapping[str, Iterable[Seen]], least: int
+) -> tuple[float, float]:
+    """How much slower one side's boxes are than the other's, as a log, each box counting alike, and its
+    standard error by how far boxes of one side lie apart.
+
+    Boxes seen less than `least` times are left out. Without one on trial and two others nothing is known of
+    how far they lie apart: the error is 0.
+    """
+    times = {route: [one.time for one in seen if one.time > 0] for route, seen in bases.items()}
+    usual = {route: median(of_route) for route, of_route in times.items() if of_route}
+    sides: list[list[float]] = []
+    for side in (cands, bases):
+        logs: dict[str, list[float]] = defaultdict(list)
+        for route, base_time in usual.items():
+            for one in side[route]:
+                if one.time > 0:
+                    logs[one.box].append(log(one.time / base_time))
+        sides.append([fmean(of_box) for of_box in logs.values() if len(of_box) >= least])
+    cand, base = sides
+    if not cand or len(base) <= 1:
+        return 1.0, 0.0
+    apart = sum((one - fmean(side)) ** 2 for side in sides for one in side)
+    spread = sqrt(apart / (len(cand) + len(base) - 2))
+    return fmean(cand) - fmean(base), spread * sqrt(1 / len(cand) + 1 / len(base))
+
+
 class Counts:
     """Sums over the tallies of one trial: what its tries took and lost, and what the others' would have."""
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -61,6 +61,27 @@
         assert (Verdict.BACK in verdicts(bench)) is (verdict is Verdict.BACK)
 
 
+@pytest.mark.parametrize(("slowness", "back"), [(1.0, False), (3.0, True)])
+def test_a_build_at_few_boxes_is_not_compared_with_the_quickest_of_many(slowness: float, back: bool) -> None:
+    """Guards against a good build that goes back as slow: the quickest earlier boxes take most of their reqs,
+    while a trial's few boxes all take their part. Each box counts alike beside that."""
+    bench = on_trial(umpires=3)
+    draw = random.Random(5).lognormvariate
+    for box in range(10):
+        pace = 0.1 * 1.12**box  # from the quickest to 2.8 times that; the quickest get most
+        for build, count in ((1, max(4, 60 - 8 * box)), (2, 12 if box in {5, 6, 7} else 0)):
+            for number in range(count):
+                time = pace * draw(0.0, 0.3) * (slowness if build > 1 else 1.0)
+                at = bench.clock + 8.0 * number / count
+                bench.umpire.seen[build, "look"].append(Seen(at, time, False, f"{'ab'[build - 1]}{box}"))
+    for seen in bench.umpire.seen.values():
+        ordered = sorted(seen)
+        seen.clear()
+        seen.extend(ordered)
+    bench.pass_time(8.5)
+    assert (Verdict.BACK in verdicts(bench)) is back
+
+
 def test_trend_in_load_is_not_read_as_a_slow_build() -> None:
     bench = on_trial()
     see(bench, 2, 1.0, 4)
