A whole number of any length in the settings is out of range, not an overflow

Seen on reading the change once more: JSON's whole numbers may have any length, and `isfinite` of 10**400 raises OverflowError, which ends the start with a traceback. Line at fault: check_number, in today's decoder; the fuzz drew nothing above 10**20. Change: numbers have an upper bound of 1e18, which also keeps infinities and NaN out. The fuzz draws such numbers.

--- a/gullmount/profile.py
+++ b/gullmount/profile.py
@@ -10,7 +10,6 @@
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass
-from math import inf, isfinite
 from typing import Any, TypeVar
 
 from gullmount.interface import Grounds, Group, ReleaseTerms, Repeats, Route, Verdict
@@ -20,6 +19,7 @@
 SENSES = {sense: verdict for verdict, sense in VERDICTS.items()}
 VOTE_TOLD = re.compile(r"(\d{1,5}) (\d{1,3}) ([0-3])", re.ASCII)  # build, stage and sense of a peer's vote
 LEAST = 1e-6  # of what the module divides by: a microsecond, the settings' unit, or as small a number
+MOST = 1e18  # of any number: microseconds of 30,000 years; JSON's whole numbers may have any length
 GROUPS = {group.value: group for group in Group}
 REPEATS = {
     "idempotent": Repeats.RETRIABLE,
@@ -82,7 +82,7 @@
         held = enumerate(self.listed(name))
         return [check_number(value, f"{self.named(name)}[{at}]", least, most) for at, value in held]
 
-    def number(self, name: str, least: float = 0.0, most: float = inf) -> float:
+    def number(self, name: str, least: float = 0.0, most: float = MOST) -> float:
         return check_number(self.value(name), self.named(name), least, most)
 
     def whole(self, name: str, least: int = 0) -> int:
@@ -113,7 +113,7 @@
 
 def check_number(value: Any, place: str, least: float, most: float) -> float:
     """As it came, whole or not. JSON's true is no number, though Python counts it as one."""
-    if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value):
+    if isinstance(value, bool) or not isinstance(value, int | float):
         raise Unfit(f"{place}: not a number")
     if not least <= value <= most:
         raise Unfit(f"{place}: out of range")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -302,6 +302,7 @@
         (lambda told: told.update(seed="xyz"), "seed"),
         (lambda told: told["settings"].pop("Rules"), "settings: Rules: missing"),
         (lambda told: told["settings"].update(Siblings=0), "settings: Siblings: out of range"),
+        (lambda told: told["settings"].update(Me=10**400), "settings: Me: out of range"),
         (lambda told: told["settings"].update(Zone=None), "settings: Zone: missing"),
         (lambda told: told["settings"]["Ceilings"].update(Peers=1), "Ceilings.Peers: not true or false"),
         (lambda told: told["settings"]["Rules"].update(ColdFrom=True), "Rules.ColdFrom: not a number"),
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -26,7 +26,10 @@
 many = settings(quiet, max_examples=300)
 
 JSON = st.recursive(
-    st.none() | st.booleans() | st.integers(-(10**20), 10**20) | st.floats() | st.text(max_size=6),
+    st.one_of(
+        st.none(), st.booleans(), st.integers(-(10**20), 10**20), st.sampled_from([10**400, -(10**400)]),
+        st.floats(), st.text(max_size=6),
+    ),
     lambda held: st.lists(held, max_size=3) | st.dictionaries(st.text(max_size=6), held, max_size=3),
     max_leaves=5,
 )
