--- a/gullmount/days/run.py
+++ b/gullmount/days/run.py
@@ -27,6 +27,7 @@
 LEAD = 1.0  # s in which umpires start before the first client comes
 TAIL = 8.0  # s after the last arrival until all is answered
 SWEEPS = (50_000, 20, 1_000_000)  # objects and rounds between sweeps; the last is out of a day's reach
+BLOCK = "127.77"  # first half of the addresses where no other process is met
 PORTS = {"umpire": 8000, "roster": 7001, "launcher": 7002, "peer": 7100}
 
 Start = Callable[..., RunningUmpire]
@@ -388,7 +389,7 @@
     terms: DayTerms,
     seed: int,
     virtual: bool,
-    block: str = "127.77",
+    block: str = BLOCK,
     start: Start = RunningUmpire,
 ) -> tuple[dict[str, Any], bytes]:
     """Play the day; its terms and its record. `block` is the first half of the loopback addresses it
@@ -405,10 +406,13 @@
     terms: DayTerms,
     seed: int,
     virtual: bool,
-    block: str = "127.77",
+    block: str = BLOCK,
     start: Start = RunningUmpire,
 ) -> tuple[dict[str, Any], bytes]:
-    """The same from plain code. Virtual days give the same record, byte for byte, for the same seed."""
+    """The same from plain code. Virtual days give the same record, byte for byte, for the same seed.
+
+    They meet no other process: `block` counts on sockets only.
+    """
     if not virtual:
         # The record holds many thousands of objects: each sweep over all would stall every umpire at once.
         usual = gc.get_threshold()
@@ -426,4 +430,4 @@
     core._ALLOW_DETERMINISTIC_SCHEDULING = True
     core._r.seed(seed)
     options = {"clock": trio.testing.MockClock(autojump_threshold=0)}
-    return anyio.run(play, terms, seed, virtual, block, start, backend="trio", backend_options=options)
+    return anyio.run(play, terms, seed, virtual, BLOCK, start, backend="trio", backend_options=options)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -221,3 +222,14 @@
     result = run("day", "run", str(tmp_path / "short.yaml"), "--json")
     assert result.returncode in (0, 1), result.stderr
     assert json.loads(result.stdout)["summary"]["reqs"] > 100
+
+
+def test_virtual_days_of_one_seed_leave_the_same_record_from_any_process(tmp_path: Path) -> None:
+    """Guards against addresses drawn from the process's id in the record of a day that meets no other."""
+    told = (Path(__file__).parent.parent / "days" / "first.yaml").read_text()
+    assert "length: " in told
+    (tmp_path / "short.yaml").write_text(re.sub(r"(?m)^length: .*", "length: 2", told))
+    for name in ("one", "other"):
+        run("day", "run", str(tmp_path / "short.yaml"), "--virtual", "--record", str(tmp_path / name))
+    records = [(tmp_path / name / "record.jsonl").read_bytes() for name in ("one", "other")]
+    assert len(records[0]) > 10000 and records[0] == records[1]
