One judge can be appointed by token; calls between processes in a layer of their own

Need: work for the fleet is to have one owner; umpires 0 and 1 judge by number today. Inquest.appoint names one judge with a token; standings and votes that go by them carry it, lower ones count for nothing at umpires and launcher, and a lessening waits until it is written down and is taken up by the next judge.

--- a/gullmount/blame/findings.py
+++ b/gullmount/blame/findings.py
@@ -55,3 +55,4 @@
     clear: dict[int, int] = field(default_factory=dict)  # by build: the stage it was seen at
     failing: dict[int, list[str]] = field(default_factory=dict)  # by build: routes that it fails
     lessened: int = 0  # the build whose share is lessened for a while, to see what follows
+    token: int = 0  # of the judge's appointment; 0 where judges are known by their numbers
--- a/gullmount/blame/inquest.py
+++ b/gullmount/blame/inquest.py
@@ -1,12 +1,13 @@
 """Looks at what all umpires saw and says which trial goes back, which may move on, and why.
 
-Each umpire tells the first few, the judges, what it saw; their standing comes back and all vote by it. An
-umpire that hears no judge goes by what it saw itself.
+Each umpire tells the judges what it saw; their standing comes back and all vote by it. An umpire that hears
+no judge goes by what it saw itself. The first few umpires are judges, or the one that `appoint` names: then
+a standing counts only with the token that the appointment came with.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from math import exp, log2, sqrt
 
 import numpy as np
@@ -79,7 +80,10 @@
         self.unknown_since: float | None = None
         self.tried: tuple[int, float] = 0, -1e9  # the build whose share was lessened last, and from when
         self.may_tell = may_tell and umpires > 1
-        self.judges = min(JUDGES, umpires) if self.may_tell else umpires
+        self.judges: Collection[int] = range(min(JUDGES, umpires) if self.may_tell else umpires)
+        self.token = 0  # of the appointment; 0 where judges are known by their numbers
+        self.voted_by = 0  # token of the standing that the last look went by; 0 for the umpire's own view
+        self.appointed = False
         self.peers = [peer for peer in range(umpires) if peer != number] if self.may_tell else []
         self.seen = Evidence()
         self.fresh = Evidence()
@@ -90,6 +94,8 @@
         self.told_at = self.looked_at = -1e9
         self.tell_rows: Callable[[int, list[Row]], None] | None = None
         self.tell_standing: Callable[[int, Standing], None] | None = None
+        self.ask_lessen: Callable[[int], None] | None = None  # the appointed judge asks; 0 when it is over
+        self.lessens = False  # an appointed judge's lessening is under way
         self.on_finding: Callable[[Finding], None] | None = None
 
     # What comes in
@@ -106,26 +112,47 @@
         self.seen.merge(now, rows)
 
     def heard_standing(self, now: float, judge: int, standing: Standing) -> None:
-        if judge < self.judges:
+        if judge in self.judges and standing.token == self.token:
             self.heard[judge] = standing, now
 
-    def heard_of(self, judges: int, now: float) -> list[Standing]:
-        """What the first so many judges said lately."""
+    def heard_of(self, judges: Collection[int], now: float) -> list[Standing]:
+        """What these judges said lately."""
         heard = self.heard.items()
-        return [told for judge, (told, at) in heard if judge < judges and now - at < STANDS_FOR]
+        return [told for judge, (told, at) in heard if judge in judges and now - at < STANDS_FOR]
+
+    def appoint(self, now: float, judge: int | None, token: int, lessened: int = 0) -> None:
+        """There is one judge for all, or none for now; of two appointments the higher token counts.
+
+        `lessened`: the build whose share an earlier judge had set out to lessen; that is taken up.
+        """
+        if token < self.token:
+            return
+        if token > self.token:
+            self.heard.clear()
+        self.appointed = True
+        self.judges, self.token = () if judge is None else (judge,), token
+        if judge == self.number and lessened:
+            self.begin_lessening(now, lessened)
+
+    def begin_lessening(self, now: float, build: int) -> None:
+        """What the appointed judge asked for is written down where its successor finds it: it may begin."""
+        self.tried, self.lessens = (build, now), True
 
     # What goes out
 
     def look(self, now: float, trials: Sequence[Trial], boxes: Iterable[Box]) -> list[Blamed]:
         """What is to be voted now."""
         self.note_moves(now, trials)
-        judge = self.number < self.judges
+        judge = self.number in self.judges
         standings = self.heard_of(self.judges, now)
         if judge or not standings:
             if now - self.looked_at >= LOOK_EVERY:
                 self.looked_at = now
                 self.inquire(now, trials, list(boxes))
+            self.voted_by = self.token if standings or judge else 0
             standings.append(self.standing)
+        else:
+            self.voted_by = self.token
         if self.may_tell and now - self.told_at >= TELL_EVERY:
             self.told_at = now
             self.tell(now, judge)
@@ -135,7 +162,7 @@
         rows = self.fresh.rows(now)
         self.fresh = Evidence()
         for peer in self.peers:
-            if peer < self.judges and rows and self.tell_rows is not None:
+            if peer in self.judges and rows and self.tell_rows is not None:
                 self.tell_rows(peer, rows)
             if judge and self.tell_standing is not None:
                 self.tell_standing(peer, self.standing)
@@ -172,7 +199,7 @@
 
     def inquire(self, now: float, trials: Sequence[Trial], boxes: list[Box]) -> None:
         before = self.said
-        standing = Standing(Finding(Cause.NOTHING))
+        standing = Standing(Finding(Cause.NOTHING), token=self.token)
         seen = list(self.seen.since(now, SIGHT))
         sums = collapsed(seen)
         open_builds = open_of(trials)
@@ -222,20 +249,26 @@
         Guards against never knowing: while shares stand still a build that slows all looks as a dependency
         does. Harm: keys of that part meet the earlier build for some seconds.
         """
-        for told in self.heard_of(self.number, now):
+        for told in self.heard_of(range(self.number), now):
             # One judge tries at a time: two shares lessened at once could not be told apart.
             self.tried = (told.lessened, now) if told.lessened else self.tried
             return told.lessened
         build, since = self.tried
         if build and now - since < TRY_FOR:
             return 0 if build in standing.blamed else build
+        if self.lessens and self.ask_lessen is not None:
+            self.lessens = False
+            self.ask_lessen(0)
         if general.cause is not Cause.UNKNOWN or not general.build:
             self.unknown_since = None
             return 0
         self.unknown_since = now if self.unknown_since is None else self.unknown_since
         if self.may_lessen and room and now - self.unknown_since >= TRY_AFTER and now - since >= TRY_AGAIN:
-            self.tried = general.build, now
-            return general.build
+            if not self.appointed:
+                self.tried = general.build, now
+                return general.build
+            if self.number in self.judges and self.ask_lessen is not None:
+                self.ask_lessen(general.build)
         return 0
 
     def may_be_blamed(self, trial: Trial, now: float) -> bool:
@@ -263,7 +296,7 @@
         """What the build is blamed for beside what serves, and whether there is a doubt that holds it."""
         zones = sorted({place.zone for _, place, _ in sums if place.build == build})
         routes = sorted({place.route for _, place, _ in sums if place.build == build})
-        alarm = FALSE_ALARM / (LOOKS * self.judges * 4 * (1 + len(zones) + len(routes)))
+        alarm = FALSE_ALARM / (LOOKS * max(1, len(self.judges)) * 4 * (1 + len(zones) + len(routes)))
         whole = errors(sums, build, base)
         by_zone = {zone: errors([one for one in sums if one[1].zone == zone], build, base) for zone in zones}
         by_route = {
--- /dev/null
+++ b/gullmount/calls/__init__.py
@@ -0,0 +1,26 @@
+"""Small calls between the program's processes: HTTP/1.1 with JSON bodies, and streams of JSON lines.
+
+What they say stands in docs/protocols.md; nothing here knows umpires, boxes or builds.
+"""
+
+from gullmount.calls.client import Refused, call, open_call, watch_lines
+from gullmount.calls.messages import VERSION, Fields, NotUnderstood, check, chosen, decode, typed
+from gullmount.calls.server import Asked, Said, read_event, serve
+
+__all__ = [
+    "VERSION",
+    "Asked",
+    "Fields",
+    "NotUnderstood",
+    "Refused",
+    "Said",
+    "call",
+    "check",
+    "chosen",
+    "decode",
+    "open_call",
+    "read_event",
+    "serve",
+    "typed",
+    "watch_lines",
+]
--- a/gullmount/standins/launcher.py
+++ b/gullmount/standins/launcher.py
@@ -13,9 +13,9 @@
 import msgspec
 from anyio.abc import TaskGroup
 
+from gullmount.calls import Asked, Said, serve
 from gullmount.net import Stream
 from gullmount.standins.fleet import Fleet, Place
-from gullmount.standins.http import Asked, Said, serve
 from gullmount.standins.links import Party, source_of
 from gullmount.standins.record import Record
 
@@ -103,6 +103,7 @@
         self.late: dict[int, float] = {}  # by build, 0 for all: s by which its news are later
         self.deaf: dict[int, float] = {}  # by build: share of its votes that are lost
         self.told: dict[int, dict[str, Any]] = {}
+        self.token = 0  # the highest that a vote came with: an earlier judge's votes are moot
         self.changed = anyio.Event()
         self.counts: dict[tuple[int, str], list[float]] = defaultdict(lambda: [0, 0, 0.0])
         self.tallies: list[dict[str, Any]] = []
@@ -201,7 +202,8 @@
         try:
             told = msgspec.json.decode(asked.body, type=dict[str, Any])
             number, build, stage, verdict = told["umpire"], told["build"], told["stage"], told["verdict"]
-        except (msgspec.DecodeError, KeyError):
+            token = {"token": int(told["token"])} if "token" in told else {}
+        except (msgspec.DecodeError, KeyError, TypeError, ValueError):
             return Said(400, b"not a vote\n")
         self.tokens = min(
             2 * self.terms.votes_per_s, self.tokens + (now - self.tokens_at) * self.terms.votes_per_s
@@ -217,11 +219,15 @@
         elif self.tokens < 1:
             return Said(429, b"too many votes\n")
         self.tokens -= 1
+        if token and token["token"] < self.token:
+            self.record.note("stale_vote", umpire=umpire, build=build, stage=stage, verdict=verdict, **token)
+            return Said(409, b"of an earlier judge\n")
+        self.token = max(self.token, token.get("token", 0))
         offer = self.voted_on(build, stage, verdict)
         known = offer is not None
         if offer is not None and counts:
             offer.votes[number] = stage, verdict, now + self.terms.vote_life
-            self.record.note("vote", umpire=umpire, build=build, stage=stage, verdict=verdict)
+            self.record.note("vote", umpire=umpire, build=build, stage=stage, verdict=verdict, **token)
         if self.trouble == "silence":
             return Said(0, fate="silence")
         if not known:
--- a/gullmount/umpire/control.py
+++ b/gullmount/umpire/control.py
@@ -6,29 +6,36 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Callable
-from typing import Any, TypeVar
+from collections.abc import Callable
+from typing import Any
 
 import anyio
-import h11
 import msgspec
 
 from gullmount.blame import Cause, Finding, Row, Standing
+from gullmount.calls import (
+    VERSION,
+    Fields,
+    NotUnderstood,
+    Refused,
+    call,
+    check,
+    chosen,
+    decode,
+    typed,
+    watch_lines,
+)
 from gullmount.interface import BoxState, Listed, ListKind, Phase, Verdict
 from gullmount.net import BROKEN, Datagrams, Net
 from gullmount.umpire.host import SocketHost
 from gullmount.umpire.terms import LauncherTerms
 
-VERSION = 1  # of all messages here; others are dropped
-LINE_MOST = 4 << 20  # bytes of one line: a list of some ten thousand boxes
-SILENT = 15.0  # s without a line after which a watch is given up: the sender says something each 5 s
 AGAIN = 0.5  # s before a broken watch is opened again, up to twice that by chance; doubles
 AGAIN_MOST = 4.0  # s of that at most: news must not be late for longer than a stage lasts
 PEER_MOST = 1400  # bytes of a message to a peer: what passes most networks in one piece
 ROW_ABOUT = 110  # bytes of a row of evidence, commonly
 WHY_MOST = 300  # characters of a verdict's words that are told
 TRIES_MOST = 1e6  # tries of one row that are believed: no umpire has as many in a second
-ANSWER_MOST = 65536  # bytes of a vote's answer
 
 KINDS = {"full": ListKind.FULL, "changes": ListKind.CHANGES}
 STATES = {state.value: state for state in BoxState}
@@ -36,8 +43,6 @@
 CAUSES = {cause.value: cause for cause in Cause}
 VERDICTS = {verdict.value: verdict for verdict in Verdict}
 NUMBER = (int, float)
-Kind = TypeVar("Kind")
-Fields = dict[str, type | tuple[type, ...]]
 BOX: Fields = {
     "box": str,
     "zone": str,
@@ -62,48 +67,7 @@
     lessened: int
     cause: str
     about: tuple[int, str, str, str]
-
-
-class NotUnderstood(Exception):
-    """A message that does not follow docs/protocols.md; the text names the field."""
-
-
-class Refused(Exception):
-    """A call that got no good answer."""
-
-
-def check(message: Any, fields: Fields) -> dict[str, Any]:
-    if not isinstance(message, dict):
-        raise NotUnderstood("no object")
-    for name, kind in fields.items():
-        value = message.get(name)
-        if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
-            raise NotUnderstood(f"field {name} is missing or wrong")
-    return message
-
-
-def typed(value: Any, kind: type[Kind]) -> Kind:
-    try:
-        return msgspec.convert(value, type=kind)
-    except msgspec.ValidationError as fault:
-        raise NotUnderstood(str(fault)) from None
-
-
-def chosen(table: dict[str, Any], message: dict[str, Any], name: str) -> Any:
-    value = message.get(name)
-    if value not in table:
-        raise NotUnderstood(f"field {name} has no such value")
-    return table[value]
-
-
-def decode(line: bytes) -> dict[str, Any]:
-    try:
-        message = check(msgspec.json.decode(line), {"v": int})
-    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
-        raise NotUnderstood("not JSON") from None
-    if message["v"] != VERSION:
-        raise NotUnderstood(f"version {message['v']}")
-    return message
+    token: int = 0
 
 
 class Starts:
@@ -135,84 +99,6 @@
         )
 
 
-async def call(net: Net, address: str, method: str, target: str, body: bytes = b"") -> tuple[int, bytes]:
-    """One small call on a connection of its own. Raises Refused."""
-    status, parts = 0, []
-    async for part in open_call(net, address, method, target, body):
-        if isinstance(part, int):
-            status = part
-        else:
-            parts.append(part)
-            if sum(map(len, parts)) > ANSWER_MOST:
-                raise Refused("answer too long")
-    return status, b"".join(parts)
-
-
-async def open_call(
-    net: Net, address: str, method: str, target: str, body: bytes = b""
-) -> AsyncIterator[int | bytes]:
-    """The status, then the body as it comes. Raises Refused whatever goes wrong."""
-    try:
-        stream = await net.connect(address)
-    except OSError as fault:
-        raise Refused(f"no connection: {fault}") from None
-    try:
-        conn = h11.Connection(h11.CLIENT)
-        headers = [("host", address), ("connection", "close"), ("content-length", str(len(body)))]
-        out = conn.send(h11.Request(method=method, target=target, headers=headers)) or b""
-        if body:
-            out += conn.send(h11.Data(data=body)) or b""
-        await stream.send(out + (conn.send(h11.EndOfMessage()) or b""))
-        while True:
-            event = conn.next_event()
-            if event is h11.NEED_DATA:
-                try:
-                    conn.receive_data(await stream.receive())
-                except anyio.EndOfStream:
-                    conn.receive_data(b"")
-            elif isinstance(event, h11.Response):
-                yield event.status_code
-            elif isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
-            elif not isinstance(event, h11.InformationalResponse):
-                raise Refused("closed")
-    except BROKEN as fault:
-        raise Refused(f"broken: {type(fault).__name__}") from None
-    except (h11.RemoteProtocolError, RuntimeError) as fault:
-        raise Refused(f"not HTTP: {fault}") from None
-    finally:
-        await anyio.aclose_forcefully(stream)
-
-
-async def watch_lines(net: Net, address: str, target: str) -> AsyncIterator[bytes]:
-    """The lines of a watch, which never ends by itself in peace: raises Refused."""
-    rest = b""
-    parts = open_call(net, address, "GET", target)
-    try:
-        while True:
-            try:
-                with anyio.fail_after(SILENT):
-                    part = await anext(parts)
-            except StopAsyncIteration:
-                raise Refused("ended") from None
-            except TimeoutError:
-                raise Refused("silent") from None
-            if isinstance(part, int):
-                if part != 200:  # noqa: PLR2004 (HTTP: ok)
-                    raise Refused(f"status {part}")
-                continue
-            *lines, rest = (rest + part).split(b"\n")
-            if len(rest) > LINE_MOST:
-                raise Refused("line too long")
-            for line in lines:
-                if line:
-                    yield line
-    finally:
-        await parts.aclose()  # type: ignore[attr-defined]
-
-
 class Roster:
     """Watches the list of boxes."""
 
@@ -337,9 +223,11 @@
         self.on_news(news)
 
     def vote(self, build: int, stage: int, verdict: Verdict) -> None:
-        self.host.tasks.start_soon(self.cast, build, stage, verdict)
+        inquest = self.host.umpire.inquest
+        token = inquest.voted_by if inquest is not None else 0
+        self.host.tasks.start_soon(self.cast, build, stage, verdict, token)
 
-    async def cast(self, build: int, stage: int, verdict: Verdict) -> None:
+    async def cast(self, build: int, stage: int, verdict: Verdict, token: int = 0) -> None:
         """One vote; whatever is no good answer is told as such."""
         message = {
             "v": VERSION,
@@ -348,6 +236,8 @@
             "stage": stage,
             "verdict": verdict.value,
         }
+        if token:
+            message["token"] = token
         body = msgspec.json.encode(message)
         try:
             with anyio.fail_after(self.terms.answer_within):
@@ -392,6 +282,8 @@
                 standing.finding.route,
             ],
         }
+        if standing.token:
+            told["token"] = standing.token
         self.post(peer, {"standing": told})
 
     def post(self, peer: int, fields: dict[str, Any]) -> None:
@@ -438,7 +330,8 @@
             said = typed(told["standing"], ToldStanding)
             build, how, zone, route = said.about
             found = Finding(chosen(CAUSES, {"cause": said.cause}, "cause"), build, how, zone, route)
-            standing = Standing(found, dict(said.blamed), dict(said.clear), dict(said.failing), said.lessened)
+            by_build = dict(said.blamed), dict(said.clear), dict(said.failing)
+            standing = Standing(found, *by_build, said.lessened, said.token)
             inquest.heard_standing(now, told["from"], standing)
         else:
             check(told, TOLD)
--- a/gullmount/umpire/running.py
+++ b/gullmount/umpire/running.py
@@ -12,9 +12,10 @@
 import anyio
 import msgspec
 
+from gullmount.calls import VERSION, NotUnderstood, check, decode
 from gullmount.interface import ListKind
 from gullmount.net import Net
-from gullmount.umpire.control import VERSION, Launcher, NotUnderstood, Peers, Roster, check, decode
+from gullmount.umpire.control import Launcher, Peers, Roster
 from gullmount.umpire.direct_front import DirectFront
 from gullmount.umpire.doors import Doors
 from gullmount.umpire.front import Front
@@ -49,7 +50,8 @@
 class RunningUmpire:
     """`async with` it: it listens once it knows of boxes and of the build, and stops when left.
 
-    `seed` starts all chance; `wall` is the clock whose time outlives the process, in seconds.
+    `seed` starts all chance; `wall` is the clock whose time outlives the process, in seconds. With
+    `appointed` no umpire judges by its number: who does is told by `appoint`.
     """
 
     def __init__(
@@ -61,7 +63,9 @@
         memory: Memory | None = None,
         wall: Callable[[], float] = time.time,
         log: Callable[..., None] = no_log,
+        appointed: bool = False,
     ) -> None:
+        self.appointed = appointed
         self.terms = terms
         self.net = net
         self.seed = (
@@ -82,6 +86,8 @@
             remembered = self.recall()
             grounds = self.terms.grounds(self.seed, remembered is not None)
             self.host = SocketHost(GeneralEntrance(self.terms), grounds, self.net, self.tasks, self.log)
+            if self.appointed:
+                self.appoint(None, 0)
             self.doors = Doors(self.host, self.net, self.tasks)
             self.roster = Roster(self.host, self.net, self.terms.roster.address, self.note_list)
             self.launcher = Launcher(self.host, self.net, self.terms.launcher, self.note_news)
@@ -118,6 +124,23 @@
         """Take nothing more and wait until all that was taken has its answer."""
         await self.doors.stop()
 
+    # The judge for all
+
+    def appoint(self, judge: int | None, token: int, lessened: int = 0) -> None:
+        """Who judges two builds on trial from now on; see `Inquest.appoint`."""
+        if self.host.umpire.inquest is not None:
+            self.host.umpire.inquest.appoint(self.host.now(), judge, token, lessened)
+
+    def on_lessen(self, ask: Callable[[int], None]) -> None:
+        """`ask` is called when this umpire judges and would lessen the share of a build, with 0 when that is
+        over; `may_lessen` answers."""
+        if self.host.umpire.inquest is not None:
+            self.host.umpire.inquest.ask_lessen = ask
+
+    def may_lessen(self, build: int) -> None:
+        if self.host.umpire.inquest is not None:
+            self.host.umpire.inquest.begin_lessening(self.host.now(), build)
+
     # Clients
 
     async def listen(self) -> None:
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -339,6 +339,68 @@
     assert second.lessen(scene.now, doubt, Standing(doubt), True) == 3
 
 
+# One appointed judge
+
+
+def appointed(judge: int | None = 2, token: int = 5) -> Scene:
+    scene = Scene(umpires=4)
+    for inquest in scene.inquests:
+        inquest.appoint(scene.now, judge, token)
+    return scene
+
+
+def test_all_go_by_the_appointed_judge_and_say_by_whose_word() -> None:
+    scene = appointed()
+    scene.fails = lambda box, now: 0.3 * (box.build == 3)
+    scene.run(12.0, watched=0)
+    assert (3, Verdict.BACK) in scene.verdicts()
+    assert [set(inquest.heard) for inquest in scene.inquests] == [{2}, {2}, set(), {2}]
+    assert [inquest.voted_by for inquest in scene.inquests] == [5] * 4
+    for inquest in scene.inquests:
+        inquest.appoint(scene.now, None, 6)
+    scene.run(1.0)
+    assert [inquest.voted_by for inquest in scene.inquests] == [0] * 4
+
+
+def test_standing_of_an_earlier_judge_counts_for_nothing() -> None:
+    scene = appointed()
+    umpire, blame = scene.inquests[0], Standing(Finding(Cause.BUILD, 3), blamed={3: "why"})
+    for judge, token in ((2, 0), (2, 4), (1, 5), (2, 6)):
+        blame.token = token
+        umpire.heard_standing(scene.now, judge, blame)
+    assert umpire.heard == {}
+    blame.token = 5
+    umpire.heard_standing(scene.now, 2, blame)
+    assert 2 in umpire.heard
+    umpire.appoint(scene.now, 3, 6)
+    umpire.appoint(scene.now, 2, 5)  # an answer of the keepers that was overtaken
+    assert umpire.heard == {} and tuple(umpire.judges) == (3,)
+
+
+def test_next_judge_takes_up_a_lessening_and_begins_no_other() -> None:
+    scene = appointed(judge=1)
+    asked: list[int] = []
+    doubt = Finding(Cause.UNKNOWN, 3)
+    first, second = scene.inquests[1:3]
+    first.ask_lessen = second.ask_lessen = asked.append
+
+    def lessened(inquest: Inquest) -> int:
+        return inquest.lessen(scene.now, doubt, Standing(doubt), True)
+
+    assert lessened(first) == 0
+    scene.now += 3.0
+    assert lessened(first) == 0 and asked == [3]  # not before it is written down
+    first.begin_lessening(scene.now, 3)
+    assert lessened(first) == 3
+    second.appoint(scene.now, 2, 6, lessened=3)
+    scene.now += 3.0
+    assert lessened(second) == 3 and asked == [3]
+    scene.now += 3.0
+    assert lessened(second) == 0 and asked == [3, 0]
+    scene.now += 1.5
+    assert lessened(second) == 0 and asked == [3, 0], "no other so soon after"
+
+
 # Many umpires
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -132,10 +132,12 @@
 
 def test_standing_comes_back_as_it_was_told() -> None:
     standing = Standing(
-        Finding(Cause.BUILD, 2, "fails", "a", "pay"), {2: "why " * 100}, {3: 1}, {2: ["pay"]}, 3
+        Finding(Cause.BUILD, 2, "fails", "a", "pay"), {2: "why " * 100}, {3: 1}, {2: ["pay"]}, 3, 7
     )
     _, wire, _ = played(tell=standing)
     ((data, _),) = wire.sent
+    assert data.count(b'"token":7') == 1
+    data = data.replace(b'"token":7', b'"token":0')
     assert len(data) <= PEER_MOST
     host, _, log = played((data.replace(b'"from":0', b'"from":1'), "p1:1"))
     assert log == []
