Keepers, leases with fencing, and a rig of processes: a thin whole

Registers on three keepers by CASPaxos, each start a life that a majority of the others writes down and answers with its whole word; leases whose term counts from before it was asked for; tokens on standings, votes and announcements. gullmount keeper FILE, gullmount rig run|check FILE.

--- a/gullmount/calls/__init__.py
+++ b/gullmount/calls/__init__.py
@@ -3,7 +3,7 @@
 What they say stands in docs/protocols.md; nothing here knows umpires, boxes or builds.
 """
 
-from gullmount.calls.client import Refused, call, open_call, watch_lines
+from gullmount.calls.client import Refused, Unreached, call, open_call, watch_lines
 from gullmount.calls.messages import VERSION, Fields, NotUnderstood, check, chosen, decode, typed
 from gullmount.calls.server import Asked, Said, read_event, serve
 
@@ -14,6 +14,7 @@
     "NotUnderstood",
     "Refused",
     "Said",
+    "Unreached",
     "call",
     "check",
     "chosen",
--- a/gullmount/calls/client.py
+++ b/gullmount/calls/client.py
@@ -7,7 +7,7 @@
 import anyio
 import h11
 
-from gullmount.net import BROKEN, Net
+from gullmount.net import BROKEN, Streams
 
 LINE_MOST = 4 << 20  # bytes of one line: a list of some ten thousand boxes
 SILENT = 15.0  # s without a line after which a watch is given up: the sender says something each 5 s
@@ -18,7 +18,11 @@
     """A call that got no good answer."""
 
 
-async def call(net: Net, address: str, method: str, target: str, body: bytes = b"") -> tuple[int, bytes]:
+class Unreached(Refused):
+    """Nothing was sent: there was no connection."""
+
+
+async def call(net: Streams, address: str, method: str, target: str, body: bytes = b"") -> tuple[int, bytes]:
     """One small call on a connection of its own. Raises Refused."""
     status, parts = 0, []
     async for part in open_call(net, address, method, target, body):
@@ -32,13 +36,13 @@
 
 
 async def open_call(
-    net: Net, address: str, method: str, target: str, body: bytes = b""
+    net: Streams, address: str, method: str, target: str, body: bytes = b""
 ) -> AsyncIterator[int | bytes]:
     """The status, then the body as it comes. Raises Refused whatever goes wrong."""
     try:
         stream = await net.connect(address)
     except OSError as fault:
-        raise Refused(f"no connection: {fault}") from None
+        raise Unreached(f"no connection: {fault}") from None
     try:
         conn = h11.Connection(h11.CLIENT)
         headers = [("host", address), ("connection", "close"), ("content-length", str(len(body)))]
@@ -69,7 +73,7 @@
         await anyio.aclose_forcefully(stream)
 
 
-async def watch_lines(net: Net, address: str, target: str) -> AsyncIterator[bytes]:
+async def watch_lines(net: Streams, address: str, target: str) -> AsyncIterator[bytes]:
     """The lines of a watch, which never ends by itself in peace: raises Refused."""
     rest = b""
     parts = open_call(net, address, "GET", target)
--- a/gullmount/calls/server.py
+++ b/gullmount/calls/server.py
@@ -9,6 +9,8 @@
 
 from gullmount.net import BROKEN, Stream, abort
 
+BODY_MOST = 64 << 20  # bytes of a body, where whoever serves does not say
+
 
 class Asked:
     """A req as a server got it."""
@@ -59,11 +61,11 @@
         conn.receive_data(data)
 
 
-async def serve(stream: Stream, handler: Handler) -> None:
-    """Answer what comes on one connection until it ends."""
+async def serve(stream: Stream, handler: Handler, body_most: int = BODY_MOST) -> None:
+    """Answer what comes on one connection until it ends; a longer body ends it."""
     conn = h11.Connection(h11.SERVER)
     try:
-        while await serve_one(conn, stream, handler):
+        while await serve_one(conn, stream, handler, body_most):
             conn.start_next_cycle()
     except (*BROKEN, h11.ProtocolError):
         pass
@@ -72,7 +74,7 @@
             await anyio.aclose_forcefully(stream)
 
 
-async def serve_one(conn: h11.Connection, stream: Stream, handler: Handler) -> bool:
+async def serve_one(conn: h11.Connection, stream: Stream, handler: Handler, body_most: int) -> bool:
     event = await read_event(conn, stream)
     if not isinstance(event, h11.Request):
         return False
@@ -82,6 +84,8 @@
         if not isinstance(part, h11.Data):
             return False
         body += bytes(part.data)
+        if len(body) > body_most:
+            return False
     asked = Asked(event.method.decode(), event.target.decode("latin-1"), headers, body)
     said = await handler(asked, stream)
     if said.fate == "reset":
--- /dev/null
+++ b/gullmount/checker/owners.py
@@ -0,0 +1,53 @@
+"""The promises of ownership over the record of a script. No I/O.
+
+Told by who was acted on (the stand-in that owners announce themselves to, the launcher), never by an owner.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from gullmount.checker.rules import Breach, Finding
+
+ONE_OWNER = "one owner"  # of one token there is one owner
+TOKENS_GROW = "tokens grow"  # no effect is taken with a lower token than one before
+NO_STALE_VOTE = "no stale vote"  # no vote counts that goes by an earlier judge's word
+
+
+def check_owners(events: list[dict[str, Any]]) -> list[Finding]:
+    """Each promise over the events in the order in which they happened."""
+    one, grow, stale = Finding(ONE_OWNER), Finding(TOKENS_GROW), Finding(NO_STALE_VOTE)
+    owners: dict[tuple[str, int], int] = {}
+    highest: dict[str, int] = {}
+    taken = [event for event in events if event["ev"] == "effect" and event["taken"]]
+    for event in taken:
+        job, token, owner = event["job"], event["token"], event["owner"]
+        who, what = f"umpire {owner}", f"{job}, token {token}"
+        first = owners.setdefault((job, token), owner)
+        if first != owner:
+            one.breaches.append(Breach(event["t"], who, f"{what}: after umpire {first}", []))
+        if token < highest.get(job, 0):
+            grow.breaches.append(Breach(event["t"], who, f"{what}: after token {highest[job]}", []))
+        highest[job] = max(token, highest.get(job, 0))
+    votes = [event for event in events if event["ev"] == "vote" and "token" in event]
+    voted = 0
+    for event in votes:
+        if event["token"] < voted:
+            what = f"token {event['token']} after {voted}"
+            stale.breaches.append(Breach(event["t"], event["umpire"], what, []))
+        voted = max(voted, event["token"])
+    one.checked = {"terms": len(owners)}
+    grow.checked = {"effects": len(taken)}
+    stale.checked = {"votes": len(votes)}
+    return [one, grow, stale]
+
+
+def takeovers(events: list[dict[str, Any]], job: str) -> list[float]:
+    """Seconds from the last effect of an owner that was taken to the first of the next one."""
+    out, last, token = [], 0.0, 0
+    for event in events:
+        if event["ev"] == "effect" and event["taken"] and event["job"] == job:
+            if token and event["token"] != token:
+                out.append(event["t"] - last)
+            last, token = event["t"], event["token"]
+    return out
--- a/gullmount/cli.py
+++ b/gullmount/cli.py
@@ -6,8 +6,10 @@
 import os
 import signal
 import sys
+import tempfile
 from dataclasses import asdict
 from pathlib import Path
+from random import Random
 from typing import Any
 
 import anyio
@@ -18,12 +20,20 @@
 
 from gullmount import __version__, reports
 from gullmount.checker import Finding, Summary, check, summarize
+from gullmount.checker.owners import check_owners
 from gullmount.days import from_bench
 from gullmount.days import run as days
 from gullmount.days.terms import DayTerms
+from gullmount.keepers.node import Keeper
+from gullmount.keepers.store import SqliteStore, StoreFault
+from gullmount.keepers.terms import KeeperTerms
 from gullmount.net import TcpNet
+from gullmount.ownership.terms import OwnedUmpireTerms
+from gullmount.ownership.umpire import OwningUmpire
+from gullmount.rig import run as rigs
+from gullmount.rig.terms import RigTerms
 from gullmount.standins import record
-from gullmount.umpire import FileMemory, RunningUmpire, UmpireTerms
+from gullmount.umpire import FileMemory, RunningUmpire
 from gullmount.yamlfile import BadFile, read
 
 BAD_INPUT = 2  # exit code where a file or an argument is wrong
@@ -66,7 +76,7 @@
 @click.option("--json", "as_json", is_flag=True, help="Say it as JSON.")
 def check_file(file: Path, as_json: bool) -> None:
     """Validate an umpire's FILE without starting it. Exit code 2 if it is no good."""
-    terms = loaded(file, UmpireTerms)
+    terms = loaded(file, OwnedUmpireTerms)
     if as_json:
         click.echo(terms.model_dump_json(indent=1))
     else:
@@ -80,7 +90,12 @@
 
     On the signal it takes nothing more, gives each taken req its final answer, and exits with 0.
     """
-    terms = loaded(file, UmpireTerms)
+    terms = loaded(file, OwnedUmpireTerms)
+    started(file, serve, terms, logger(umpire=terms.number))
+
+
+def logger(**bound: Any) -> Any:
+    """Lines of JSON on standard error."""
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -89,10 +104,14 @@
         ],
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
     )
-    log = structlog.get_logger().bind(umpire=terms.number)
+    return structlog.get_logger().bind(**bound).info
+
+
+def started(file: Path, program: Any, *args: Any) -> None:
+    """Run a program until it ends; what the machine does not allow is said in one line."""
     try:
-        anyio.run(serve, terms, log.info)
-    except* OSError as faults:
+        anyio.run(program, *args)
+    except* (OSError, StoreFault) as faults:
         first: BaseException = faults
         while isinstance(first, BaseExceptionGroup):
             first = first.exceptions[0]
@@ -100,15 +119,45 @@
         sys.exit(BAD_INPUT)
 
 
-async def serve(terms: UmpireTerms, log: Any) -> None:
+async def serve(terms: OwnedUmpireTerms, log: Any) -> None:
     memory = FileMemory(Path(terms.remembered)) if terms.remembered else None
+    kind = OwningUmpire if terms.owns else RunningUmpire
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async with RunningUmpire(terms, net=TcpNet(), memory=memory, log=log) as running:
+        async with kind(terms, net=TcpNet(terms.connect_from), memory=memory, log=log) as running:
             async for _ in signals:
                 await running.stop()
                 return
 
 
+@main.command()
+@click.argument("file", type=Path_)
+@click.option("--found", is_flag=True, help="A blank disk begins a new group: for its first start only.")
+@click.option("--vouch", is_flag=True, help="You vouch that the disk holds the last that this keeper said.")
+def keeper(file: Path, found: bool, vouch: bool) -> None:
+    """Run the keeper that FILE describes, until SIGTERM or SIGINT; logs go to standard error as JSON lines.
+
+    \b
+    gullmount keeper keeper-1.yaml --found    the first start of each keeper of a new group
+    gullmount keeper keeper-1.yaml            every later one, with whatever the disk holds
+    """
+    terms = loaded(file, KeeperTerms)
+    started(file, keep, terms, logger(keeper=terms.number), found, vouch)
+
+
+async def keep(terms: KeeperTerms, log: Any, found: bool, vouched: bool) -> None:
+    store = SqliteStore(Path(terms.disk))
+    host = terms.members[terms.number].rpartition(":")[0]
+    made = Keeper(
+        terms, net=TcpNet(host), store=store, chance=Random(), log=log, found=found, vouched=vouched
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(made.run)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                tasks.cancel_scope.cancel()
+                return
+
+
 @main.command()
 @click.argument("folder", type=Path_)
 @click.option("--json", "as_json", is_flag=True, help="Each change of mind as JSON on standard output.")
@@ -218,8 +267,56 @@
         click.echo(f"left out: {what}", err=True)
 
 
+@main.group()
+def rig() -> None:
+    """Play scripts of failures among many processes and check their records."""
+
+
+@rig.command("run")
+@click.argument("file", type=Path_)
+@click.option("--seed", type=int, default=None, help="Instead of the file's own.")
+@click.option("--virtual", is_flag=True, help="In memory and virtual time: quick, and the same each time.")
+@click.option("--json", "as_json", is_flag=True, help="The result as JSON on standard output.")
+@click.option("--record", "folder", type=Path_, default=None, help="Write record and logs into this folder.")
+def rig_run(file: Path, seed: int | None, virtual: bool, as_json: bool, folder: Path | None) -> None:
+    """Play the script in FILE and hold what was done against the promises and the rules.
+
+    Exit code 0 with all kept, 1 with one broken, 2 for bad input.
+
+    \b
+    gullmount rig run days/failures/owner-killed.yaml --virtual
+    gullmount rig run days/failures/owner-killed.yaml --seed 7 --record /tmp/owner-killed
+    """
+    terms = loaded(file, RigTerms)
+    seed = terms.seed if seed is None else seed
+    console = Console(stderr=True)
+    how = "in virtual time" if virtual else f"on processes, {terms.length:.0f} s"
+    with tempfile.TemporaryDirectory() as spare:
+        place = Path(spare) if folder is None else folder
+        with console.status(f"playing {terms.name}, seed {seed}, {how}"):
+            about, lines = rigs.run(terms, seed, virtual, days.block_of(os.getpid()), place)
+    if folder is not None:
+        record.write(folder, about, lines)
+    tell(about, [json.loads(line) for line in lines.splitlines()], as_json)
+
+
+@rig.command("check")
+@click.argument("folder", type=Path_)
+@click.option("--json", "as_json", is_flag=True, help="The result as JSON on standard output.")
+def rig_check(folder: Path, as_json: bool) -> None:
+    """Hold the record of a script in FOLDER against the promises and the rules again."""
+    about, events = recorded(folder)
+    try:
+        tell(about, events, as_json)
+    except (KeyError, TypeError, AttributeError) as fault:
+        click.echo(f"{folder}: not the record of a script: {fault!r}", err=True)
+        sys.exit(BAD_INPUT)
+
+
 def tell(about: dict[str, Any], events: list[dict[str, Any]], as_json: bool) -> None:
     findings, summary = check(about, events), summarize(about, events)
+    if "keepers" in about["day"]:
+        findings += check_owners(events)
     broken = any(finding.breaches for finding in findings)
     if as_json:
         result = {
--- /dev/null
+++ b/gullmount/keepers/client.py
@@ -0,0 +1,116 @@
+"""Registers as their users see them: read, change if unchanged, watch. Any keeper will do."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Protocol
+from zlib import crc32
+
+import anyio
+import msgspec
+
+from gullmount.calls import VERSION, NotUnderstood, Refused, Unreached, call, check, decode, watch_lines
+from gullmount.net import Streams
+
+AGAIN = 0.2  # s before a broken watch is opened again, up to twice that by chance; doubles
+AGAIN_MOST = 2.0  # s of that at most: an owner must be known within a term
+OK, UNKNOWN = 200, 504
+
+
+@dataclass(frozen=True)
+class Told:
+    """What is chosen of a register; version 0 where it was never set."""
+
+    version: int
+    value: Any
+
+
+class NoKeeper(Exception):
+    """No keeper gave a good answer; nothing was changed."""
+
+
+class EndUnknown(Exception):
+    """The change may have been made or not: read, and look."""
+
+
+class Registers(Protocol):
+    async def read(self, register: str) -> Told: ...
+
+    async def change(self, register: str, expect: int, value: Any) -> tuple[bool, Told]: ...
+
+    def watch(self, register: str) -> AsyncIterator[Told]: ...
+
+
+class KeeperCalls:
+    """`answer_within` seconds for one call. Calls for one register go to one keeper as long as it answers:
+    rounds of two keepers beat each other."""
+
+    def __init__(
+        self,
+        net: Streams,
+        addresses: list[str],
+        chance: Random,
+        answer_within: float,
+        log: Callable[..., None] = lambda event, **fields: None,
+    ) -> None:
+        self.net = net
+        self.addresses = addresses
+        self.chance = chance
+        self.answer_within = answer_within
+        self.log = log
+        self.preferred: dict[str, int] = {}
+
+    def order(self, register: str) -> list[int]:
+        first = self.preferred.setdefault(register, crc32(register.encode()) % len(self.addresses))
+        return [(first + step) % len(self.addresses) for step in range(len(self.addresses))]
+
+    async def read(self, register: str) -> Told:
+        """Raises NoKeeper."""
+        return (await self.settle({"register": register}))[1]
+
+    async def change(self, register: str, expect: int, value: Any) -> tuple[bool, Told]:
+        """Whether changed, and what is chosen now. Raises NoKeeper, EndUnknown."""
+        return await self.settle({"register": register, "expect": expect, "value": value})
+
+    async def settle(self, message: dict[str, Any]) -> tuple[bool, Told]:
+        register, changes = message["register"], "expect" in message
+        body = msgspec.json.encode({"v": VERSION, **message})
+        for one in self.order(register):
+            try:
+                with anyio.fail_after(self.answer_within):
+                    status, answer = await call(self.net, self.addresses[one], "POST", "/v1/register", body)
+                if status == OK:
+                    told = check(decode(answer), {"version": int, "done": bool})
+                    self.preferred[register] = one
+                    return told["done"], Told(told["version"], told.get("value"))
+                if changes and status == UNKNOWN:
+                    raise EndUnknown
+            except (Refused, NotUnderstood, TimeoutError) as fault:
+                if changes and not isinstance(fault, Unreached):
+                    raise EndUnknown from None
+        raise NoKeeper
+
+    async def watch(self, register: str) -> AsyncIterator[Told]:
+        """Each value that is seen, for ever: what changed while a watch was broken is told at its next
+        begin."""
+        wait, at, tries = AGAIN, -1, 0
+        while True:
+            order = self.order(register)
+            address = self.addresses[order[tries % len(order)]]
+            try:
+                async for line in watch_lines(self.net, address, f"/v1/watch?register={register}"):
+                    message = decode(line)
+                    if message.get("kind") == "alive":
+                        continue
+                    told = check(message, {"version": int})
+                    wait = AGAIN
+                    if told["version"] > at:
+                        at = told["version"]
+                        yield Told(at, told.get("value"))
+            except (Refused, NotUnderstood) as fault:
+                self.log("watch ended", register=register, why=str(fault))
+            tries += 1
+            await anyio.sleep(wait * (1 + self.chance.random()))
+            wait = min(AGAIN_MOST, wait * 2)
--- /dev/null
+++ b/gullmount/keepers/node.py
@@ -0,0 +1,370 @@
+"""One keeper on a network: its word on disk, rounds on behalf of clients, watches.
+
+Decides nothing: what may be promised and what is chosen stands in `word.py` and `round.py`. What is kept
+here is the order: an answer leaves after the word that it gives is on the disk.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import AsyncIterator, Callable
+from random import Random
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from gullmount.calls import VERSION, Asked, NotUnderstood, Refused, Said, call, check, decode, serve
+from gullmount.keepers.round import Change, Phase, Round
+from gullmount.keepers.store import Damaged, Store, StoreFault
+from gullmount.keepers.terms import KeeperTerms
+from gullmount.keepers.word import Joining, Slot, Word, ballot_of
+from gullmount.net import Stream, Streams, source_host
+
+BODY_MOST = 65536  # bytes of a message: a register's value and its frame
+VALUE_MOST = 32768  # bytes of a register's value
+WAITING_MOST = 256  # changes of one register that wait their turn; more are refused at once
+JOIN_AGAIN = 0.25  # s between askings of the others at a start, up to twice that by chance
+BEATEN_WAIT = 0.01  # s of a wait after a round that a higher one beat, doubled each time, drawn from 0
+BEATEN_WAIT_MOST = 0.2  # s of that
+ALIVE_EVERY = 5.0  # s between lines of a quiet watch
+REFRESH = 2.0  # s without news after which a watched register is read: news may be lost between keepers
+
+OK, CONFLICT, UNAVAILABLE, UNKNOWN = 200, 409, 503, 504
+
+
+class NoMajority(Exception):
+    """Nothing was changed: no majority answered."""
+
+
+class EndUnknown(Exception):
+    """The change may have been made or not."""
+
+
+def no_log(event: str, **fields: Any) -> None:
+    pass
+
+
+class Keeper:
+    """`run` it in a task. `chance` draws waits and marks. With `found` a blank disk begins a new group; with
+    `vouched` the operator's word stands for the others' that this disk holds the last that was said."""
+
+    def __init__(
+        self,
+        terms: KeeperTerms,
+        *,
+        net: Streams,
+        store: Store,
+        chance: Random,
+        log: Callable[..., None] = no_log,
+        found: bool = False,
+        vouched: bool = False,
+    ) -> None:
+        self.terms = terms
+        self.net = net
+        self.store = store
+        self.chance = chance
+        self.log = log
+        self.found = found
+        self.vouched = vouched
+        self.members = tuple(sorted(terms.members))
+        self.others = [one for one in self.members if one != terms.number]
+        self.hosts = {one: address.rpartition(":")[0] for one, address in terms.members.items()}
+        self.word = Word(terms.number, self.members)
+        self.admitted = anyio.Event()
+        self.writing = anyio.Lock()  # one message's word is on the disk before the next is looked at
+        self.turns: dict[str, anyio.Lock] = defaultdict(anyio.Lock)
+        self.counters: dict[str, int] = defaultdict(int)  # highest counter heard of, by register
+        self.shown: dict[str, tuple[int, Any]] = {}  # by register: what is known to be chosen
+        self.shown_at: dict[str, float] = {}  # by register: when it was last read or told of
+        self.changed = anyio.Event()
+        self.failed = False  # the disk failed: nothing is said any more
+        self.tasks: TaskGroup
+
+    # Its life
+
+    async def run(self, started: anyio.Event | None = None) -> None:
+        """Until cancelled. Raises StoreFault when the disk fails."""
+        self.recall()
+        async with anyio.create_task_group() as self.tasks:
+            self.tasks.start_soon(self.join)
+            await self.net.serve(self.terms.members[self.terms.number], self.connected, started)
+
+    def recall(self) -> None:
+        """The word of an earlier process. Raises StoreFault."""
+        try:
+            kept = self.store.load()
+            if kept is not None:
+                self.word.recall(kept)
+        except (Damaged, NotUnderstood) as fault:
+            self.log("disk damaged", why=str(fault))
+            self.word = Word(self.terms.number, self.members)
+            set_aside = getattr(self.store, "set_aside", None)
+            if set_aside is not None:
+                set_aside()
+            kept = None
+        if kept is None and self.found:
+            self.word.found()
+            self.store.write(self.word.saved())
+        self.log("disk read", blank=kept is None, life=self.word.life, whole=self.word.whole)
+
+    async def join(self) -> None:
+        if self.vouched and self.word.whole:
+            self.log("admitted", life=self.word.life, vouched=True)
+            self.admitted.set()
+            return
+        joining = Joining(self.word)
+        async with self.writing:
+            await self.save()
+        while not self.admitted.is_set():
+            async with anyio.create_task_group() as tasks:
+                for one in self.others:
+                    tasks.start_soon(self.join_at, joining, one)
+            if not self.admitted.is_set():
+                await anyio.sleep(JOIN_AGAIN * (1 + self.chance.random()))
+
+    async def join_at(self, joining: Joining, other: int) -> None:
+        if other in joining.told:
+            return
+        answer = await self.ask(other, {"do": "join", "life": self.word.asked})
+        if answer is None or self.admitted.is_set():
+            return
+        async with self.writing:
+            try:
+                admitted = joining.heard(other, answer)
+            except NotUnderstood as fault:
+                self.log("answer not understood", keeper=other, why=str(fault))
+                return
+            await self.save()
+        if admitted:
+            self.log("admitted", life=self.word.life)
+            self.admitted.set()
+
+    async def save(self) -> None:
+        """Write what the word holds unsaved. Whoever calls holds `writing`. A fault ends this keeper."""
+        if self.failed:
+            raise StoreFault("the disk failed before")
+        rows = self.word.saved()
+        if not rows:
+            return
+        try:
+            with anyio.CancelScope(shield=True):
+                await self.store.save(rows)
+        except StoreFault:
+            self.failed = True
+            raise
+
+    # Other keepers
+
+    async def ask(self, other: int, message: dict[str, Any]) -> dict[str, Any] | None:
+        """One call of another keeper; None for no good answer."""
+        told = {"v": VERSION, "from": self.terms.number, "group": self.terms.group, **message}
+        try:
+            with anyio.fail_after(self.terms.call_within):
+                address = self.terms.members[other]
+                status, body = await call(self.net, address, "POST", "/v1/keeper", msgspec.json.encode(told))
+            if status == OK:
+                return decode(body)
+        except (Refused, NotUnderstood, TimeoutError):
+            pass
+        return None
+
+    async def answer_keeper(self, asked: Asked, stream: Stream) -> Said:
+        told = check(decode(asked.body), {"from": int, "group": str, "do": str})
+        keeper, do = told["from"], told["do"]
+        if told["group"] != self.terms.group or keeper not in self.others:
+            raise NotUnderstood("not of this group")
+        if source_host(stream) not in ("", self.hosts[keeper]):
+            raise NotUnderstood("not from that keeper's address")
+        if do == "chosen":
+            slot = check(told, {"register": str, "version": int})
+            self.show(slot["register"], slot["version"], told.get("value"))
+            return reply({})
+        if do != "join" and not self.admitted.is_set():
+            return Said(UNAVAILABLE, b"not admitted yet\n")
+        return reply(await self.speak(keeper, do, told))
+
+    async def speak(self, keeper: int, do: str, told: dict[str, Any]) -> dict[str, Any]:
+        """Give this keeper's word on a message, from the disk."""
+        async with self.writing:
+            if do == "join":
+                said = self.word.joined(keeper, check(told, {"life": int})["life"])
+            elif do in (Phase.PREPARE.value, Phase.ACCEPT.value):
+                register, ballot = check(told, {"register": str})["register"], ballot_of(told.get("ballot"))
+                self.counters[register] = max(self.counters[register], ballot[0])
+                if do == Phase.PREPARE.value:
+                    said = self.word.prepare(register, ballot)
+                else:
+                    version = check(told, {"version": int})["version"]
+                    said = self.word.accept(register, ballot, version, told.get("value"))
+            else:
+                raise NotUnderstood("nothing that a keeper does")
+            await self.save()
+        return said
+
+    # Rounds
+
+    async def settle(self, register: str, expect: int | None, value: Any) -> tuple[bool, Slot]:
+        """Change the register if its version is `expect`, or read it; whether changed, and what is chosen.
+
+        Raises NoMajority where nothing was changed, EndUnknown where that cannot be told.
+        """
+        turn = self.turns[register]
+        if turn.statistics().tasks_waiting >= WAITING_MOST:
+            raise NoMajority("too many wait")
+        mark = f"{self.chance.getrandbits(62):x}"
+        change = Change(register, expect, {"mark": mark, "value": value})
+        begun = False  # whether some keeper may have accepted the change
+        wait = BEATEN_WAIT
+        with anyio.move_on_after(self.terms.settle_within):
+            async with turn:
+                while True:
+                    out = await self.play(change)
+                    begun = begun or out.done
+                    if out.phase is Phase.CHOSEN:
+                        slot = out.result
+                        mine = slot.value is not None and slot.value["mark"] == mark
+                        if begun and not mine and slot.version > (expect or 0):
+                            raise EndUnknown("changed since")
+                        await self.chosen(register, slot)
+                        return mine, slot
+                    await anyio.sleep(self.chance.random() * wait)
+                    wait = min(BEATEN_WAIT_MOST, wait * 2)
+        if begun:
+            raise EndUnknown("no majority answered in time")
+        raise NoMajority("no majority answered in time")
+
+    async def play(self, change: Change) -> Round:
+        """One round, to its end or until too few answer."""
+        register = change.register
+        slot = self.word.slots.get(register, Slot())
+        counter = max(self.counters[register], slot.promised[0]) + 1
+        self.counters[register] = counter
+        ballot = (counter, self.terms.number, self.word.life)
+        one = Round(change, ballot, self.members, self.word.lives)
+        for phase in (Phase.PREPARE, Phase.ACCEPT):
+            if one.phase is phase:
+                await self.play_phase(one, phase)
+        self.counters[register] = max(self.counters[register], one.highest[0])
+        return one
+
+    async def play_phase(self, one: Round, phase: Phase) -> None:
+        """Ask all until the phase is over or none is left to answer. Its own word comes first: a ballot
+        that is on no disk could be drawn again."""
+        message = one.asks()
+        me = self.terms.number
+        if one.heard(me, phase, await self.speak(me, phase.value, message)):
+            return
+        async with anyio.create_task_group() as tasks:
+
+            async def hear(keeper: int) -> None:
+                answer = await self.ask(keeper, message)
+                if answer is None:
+                    return
+                try:
+                    if one.heard(keeper, phase, answer):
+                        tasks.cancel_scope.cancel()
+                except NotUnderstood as fault:
+                    self.log("answer not understood", keeper=keeper, why=str(fault))
+
+            for keeper in self.others:
+                tasks.start_soon(hear, keeper)
+
+    async def chosen(self, register: str, slot: Slot) -> None:
+        value = None if slot.value is None else slot.value["value"]
+        if self.show(register, slot.version, value):
+            told = {"do": "chosen", "register": register, "version": slot.version, "value": value}
+            for keeper in self.others:
+                self.tasks.start_soon(self.ask, keeper, told)
+
+    # Clients
+
+    def show(self, register: str, version: int, value: Any) -> bool:
+        """Tell watches what is chosen; whether it was new."""
+        self.shown_at[register] = anyio.current_time()
+        if version <= self.shown.get(register, (0, None))[0]:
+            return False
+        self.shown[register] = version, value
+        self.changed.set()
+        self.changed = anyio.Event()
+        return True
+
+    async def connected(self, stream: Stream) -> None:
+        await serve(stream, self.answer, BODY_MOST)
+
+    async def answer(self, asked: Asked, stream: Stream) -> Said:
+        target = urlsplit(asked.target)
+        try:
+            if self.failed:
+                return Said(UNAVAILABLE, b"the disk failed\n")
+            if target.path == "/v1/keeper":
+                return await self.answer_keeper(asked, stream)
+            if not self.admitted.is_set():
+                return Said(UNAVAILABLE, b"not admitted yet\n")
+            if target.path == "/v1/register":
+                return await self.answer_client(asked)
+            if target.path == "/v1/watch":
+                register = parse_qs(target.query).get("register", [""])[0]
+                return Said(OK, lines=self.watch(register))
+        except NotUnderstood as fault:
+            self.log("message not understood", source=source_host(stream), why=str(fault))
+            return Said(400, b"not understood\n")
+        except NoMajority as fault:
+            return Said(UNAVAILABLE, f"{fault}\n".encode())
+        except EndUnknown as fault:
+            return Said(UNKNOWN, f"{fault}\n".encode())
+        return Said(404, b"nothing here\n")
+
+    async def answer_client(self, asked: Asked) -> Said:
+        told = check(decode(asked.body), {"register": str})
+        expect = told.get("expect")
+        if expect is not None and (type(expect) is not int or expect < 0):
+            raise NotUnderstood("field expect is wrong")
+        value = told.get("value")
+        if len(msgspec.json.encode(value)) > VALUE_MOST:
+            raise NotUnderstood("value is too long")
+        done, slot = await self.settle(told["register"], expect, value)
+        said = line_of(told["register"], slot.version, None if slot.value is None else slot.value["value"])
+        return reply({**said, "done": done})
+
+    async def watch(self, register: str) -> AsyncIterator[bytes]:
+        """The register as it is chosen now, then each change that comes in time: the last is never missed."""
+        at = -1
+        said_at = anyio.current_time()
+        while True:
+            due = self.shown_at.get(register, -REFRESH) + REFRESH
+            if anyio.current_time() >= due:
+                # One reading serves all watches of the register; one that fails is made up for by the next.
+                self.shown_at[register] = anyio.current_time()
+                try:
+                    _, slot = await self.settle(register, None, None)
+                    self.show(register, slot.version, None if slot.value is None else slot.value["value"])
+                except (NoMajority, EndUnknown):
+                    continue
+                self.shown.setdefault(register, (0, None))
+            version, value = self.shown.get(register, (-1, None))
+            if version > at:
+                at, said_at = version, anyio.current_time()
+                yield encode_line(line_of(register, version, value))
+                continue
+            if anyio.current_time() - said_at >= ALIVE_EVERY:
+                said_at = anyio.current_time()
+                yield encode_line({"v": VERSION, "kind": "alive"})
+            changed = self.changed
+            due = self.shown_at.get(register, -REFRESH) + REFRESH
+            with anyio.move_on_after(max(0.01, due - anyio.current_time())):
+                await changed.wait()
+
+
+def line_of(register: str, version: int, value: Any) -> dict[str, Any]:
+    return {"v": VERSION, "register": register, "version": version, "value": value}
+
+
+def encode_line(line: dict[str, Any]) -> bytes:
+    return msgspec.json.encode(line) + b"\n"
+
+
+def reply(said: dict[str, Any]) -> Said:
+    return Said(OK, msgspec.json.encode({"v": VERSION, **said}))
--- /dev/null
+++ b/gullmount/keepers/round.py
@@ -0,0 +1,105 @@
+"""One round of a proposer on one register: read what may have been chosen, write the change, count.
+
+No I/O, clock or chance: `asks` says what to ask all keepers, `heard` takes an answer. A round ends chosen,
+beaten by a higher ballot, or is given up by whoever runs it. Two phases as in CASPaxos; where a majority
+tells the same accepted ballot, that value is chosen already and a reading, or a change that expects another
+version, ends there.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from gullmount.calls import check
+from gullmount.keepers.word import NO_BALLOT, Ballot, Slot, ballot_of, lives_of, majority, slot_of
+
+
+@dataclass(frozen=True)
+class Change:
+    """What is to become of a register: `value` if its version is still `expect`; nothing if that is None."""
+
+    register: str
+    expect: int | None = None
+    value: Any = None
+
+
+class Phase(Enum):
+    PREPARE = "prepare"
+    ACCEPT = "accept"
+    CHOSEN = "chosen"
+    BEATEN = "beaten"
+
+
+class Round:
+    """Lives until it is chosen, beaten or given up. `lives`: the word's own."""
+
+    def __init__(
+        self, change: Change, ballot: Ballot, members: tuple[int, ...], lives: dict[int, int]
+    ) -> None:
+        self.change = change
+        self.ballot = ballot
+        self.needed = majority(len(members))
+        self.known = lives  # the word's own, which others may begin while the round is out
+        self.lives: dict[int, int] = {}  # as answers tell
+        self.phase = Phase.PREPARE
+        self.promises: dict[int, tuple[int, Slot]] = {}  # by keeper: its life, what it accepted
+        self.accepts: dict[int, int] = {}  # by keeper: its life
+        self.current = Slot()  # as read in the first phase
+        self.result = Slot()  # what is or becomes chosen
+        self.done = False  # whether the change itself is part of that
+        self.highest = NO_BALLOT  # that beat it
+
+    def asks(self) -> dict[str, Any]:
+        """The message of the phase, for each keeper."""
+        message: dict[str, Any] = {"do": self.phase.value, "ballot": self.ballot}
+        message["register"] = self.change.register
+        if self.phase is Phase.ACCEPT:
+            message |= {"version": self.result.version, "value": self.result.value}
+        return message
+
+    def counted(self, lives: dict[int, int]) -> list[int]:
+        """The keepers whose answer is of their newest life known."""
+        return [
+            one
+            for one, life in sorted(lives.items())
+            if life >= max(self.lives.get(one, 0), self.known.get(one, 0))
+        ]
+
+    def heard(self, keeper: int, phase: Phase, answer: dict[str, Any]) -> bool:
+        """Whether the phase is another now. Raises NotUnderstood."""
+        told = check(answer, {"ok": bool, "life": int})
+        for one, life in lives_of(answer).items():
+            self.lives[one] = max(self.lives.get(one, 0), life)
+        if phase is not self.phase:
+            return False
+        if not told["ok"]:
+            self.highest = max(self.highest, ballot_of(answer.get("promised")))
+            if self.highest > self.ballot:
+                self.phase = Phase.BEATEN
+            return self.phase is Phase.BEATEN
+        if phase is Phase.PREPARE:
+            self.promises[keeper] = told["life"], slot_of(answer)[1]
+            return self.prepared()
+        self.accepts[keeper] = told["life"]
+        if len(self.counted(self.accepts)) < self.needed:
+            return False
+        self.phase = Phase.CHOSEN
+        return True
+
+    def prepared(self) -> bool:
+        counted = self.counted({one: life for one, (life, _) in self.promises.items()})
+        if len(counted) < self.needed:
+            return False
+        slots = [self.promises[one][1] for one in counted]
+        self.current = max(slots, key=lambda slot: slot.accepted)
+        change = self.change
+        self.done = change.expect == self.current.version
+        if self.done:
+            self.result = Slot(self.ballot, self.ballot, self.current.version + 1, change.value)
+        else:
+            self.result = self.current
+        same = sum(slot.accepted == self.current.accepted for slot in slots)
+        self.phase = Phase.CHOSEN if not self.done and same >= self.needed else Phase.ACCEPT
+        return True
--- a/gullmount/net/__init__.py
+++ b/gullmount/net/__init__.py
@@ -3,6 +3,18 @@
 
 from gullmount.net.memory import MemoryNet
 from gullmount.net.tcp import TcpNet
-from gullmount.net.types import BROKEN, Conduit, Datagrams, Hearer, Net, Stream, abort
+from gullmount.net.types import BROKEN, Conduit, Datagrams, Hearer, Net, Stream, Streams, abort, source_host
 
-__all__ = ["BROKEN", "Conduit", "Datagrams", "Hearer", "MemoryNet", "Net", "Stream", "TcpNet", "abort"]
+__all__ = [
+    "BROKEN",
+    "Conduit",
+    "Datagrams",
+    "Hearer",
+    "MemoryNet",
+    "Net",
+    "Stream",
+    "Streams",
+    "TcpNet",
+    "abort",
+    "source_host",
+]
--- a/gullmount/net/types.py
+++ b/gullmount/net/types.py
@@ -57,7 +57,7 @@
         """End at once."""
 
 
-class Net(Protocol):
+class Streams(Protocol):
     """Connects and listens by address. All methods may raise OSError, as sockets do."""
 
     async def connect(self, address: str) -> Stream: ...
@@ -67,6 +67,12 @@
     ) -> None:
         """Accept until cancelled, `handler` in a task of its own for each stream."""
 
+    async def datagrams(self, address: str) -> Datagrams: ...
+
+
+class Net(Streams, Protocol):
+    """The same, and by callbacks."""
+
     async def dial(self, address: str, hearer: Hearer) -> Conduit:
         """Connect; `hearer` may be called before this returns."""
 
@@ -78,8 +84,6 @@
     ) -> None:
         """Accept until cancelled; a connection that `greet` gives no hearer for is ended."""
 
-    async def datagrams(self, address: str) -> Datagrams: ...
-
 
 def split(address: str) -> tuple[str, int]:
     """Host and port of `host:port`; raises ValueError where it is neither."""
@@ -89,6 +93,17 @@
     return host.strip("[]"), int(port)
 
 
+def source_host(stream: Stream) -> str:
+    """The host that the other side connected from; empty where that is not known any more."""
+    source = getattr(stream, "source", None)
+    if source is not None:
+        return str(source)
+    try:
+        return str(stream.extra(SocketAttribute.remote_address)[0])
+    except (anyio.TypedAttributeLookupError, OSError):
+        return ""
+
+
 async def abort(stream: Stream) -> None:
     """Close at once, as a crashed machine would: the other side sees a reset where the network has one."""
     reset = getattr(stream, "abort", None)
--- /dev/null
+++ b/gullmount/ownership/jobs.py
@@ -0,0 +1,217 @@
+"""Owning a job, as a program does it:
+
+    async with jobs.hold("judge") as held:   # waits until this umpire owns it
+        while True:
+            held.check()                     # raises TermOver once the term is over
+            await act(held.token)            # whoever is acted on refuses a lower token than it has seen
+
+The body is cancelled when the term ends without renewal, and `hold` then raises TermOver.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from random import Random
+from typing import Any
+
+import anyio
+
+from gullmount.keepers.client import EndUnknown, NoKeeper, Registers, Told
+from gullmount.ownership.lease import Lease, State
+
+SPREAD = 0.5  # s over which claims are drawn when an owner is gone: hundreds must not come in one moment
+SPREAD_FREE = 0.2  # s likewise where it gave up the job: the next is there within a second
+LOOK_AGAIN = 0.1  # s before a change with no good answer is tried again, up to twice that by chance
+RELEASE_WITHIN = 1.0  # s in which a job is given up; after that the others wait out the term
+
+Seen = Callable[[State], None]
+
+
+class TermOver(Exception):
+    """The job is not, or no longer, this umpire's: nothing more may be done in its name."""
+
+
+def awake_clock() -> float:
+    """Seconds, by a clock that goes on while the machine sleeps where there is one."""
+    if hasattr(time, "CLOCK_BOOTTIME"):
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+    return time.monotonic()
+
+
+class View:
+    """One job as this umpire sees it; lives as long as the umpire."""
+
+    def __init__(self, lease: Lease) -> None:
+        self.lease = lease
+        self.changed = anyio.Event()
+        self.changing = anyio.Lock()
+        self.on_seen: list[Seen] = []
+
+    def seen(self, now: float, told: Told) -> None:
+        if self.lease.seen(now, told):
+            for call in self.on_seen:
+                call(self.lease.state)
+            self.changed.set()
+            self.changed = anyio.Event()
+
+
+class Held:
+    """A job that is owned. `token` goes with every effect."""
+
+    def __init__(self, jobs: Jobs, name: str, view: View) -> None:
+        self.jobs = jobs
+        self.name = name
+        self.view = view
+        self.token = view.lease.state.token
+        self.scope = anyio.CancelScope()
+        self.over = False
+
+    @property
+    def work(self) -> Any:
+        """What stands in the register as to be done; an earlier owner may have left it half finished."""
+        return self.view.lease.state.work
+
+    def check(self) -> None:
+        """Raises TermOver where this umpire may not act any more."""
+        lease = self.view.lease
+        if self.over or lease.state.token != self.token or not lease.holds(self.jobs.clock()):
+            raise TermOver(self.name)
+
+    async def write(self, work: Any) -> None:
+        """Put what is to be done into the register, before it is begun; counts as a renewal. Raises
+        TermOver."""
+        while True:
+            self.check()
+            if await self.jobs.renew(self.view, work) and self.work == work:
+                self.check()
+                return
+            await self.jobs.pause()
+
+
+class Jobs:
+    """The jobs of one umpire; `run` it in a task. `clock` gives seconds, `life` names this process."""
+
+    def __init__(
+        self,
+        registers: Registers,
+        me: int,
+        life: str,
+        names: list[str],
+        *,
+        term: float,
+        margin: float,
+        chance: Random,
+        clock: Callable[[], float] = awake_clock,
+        log: Callable[..., None] = lambda event, **fields: None,
+    ) -> None:
+        self.registers = registers
+        self.chance = chance
+        self.clock = clock
+        self.log = log
+        self.views = {name: View(Lease(me, life, term, margin)) for name in names}
+
+    async def run(self) -> None:
+        """Watch all jobs, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            for name, view in self.views.items():
+                tasks.start_soon(self.watch, name, view)
+
+    async def watch(self, name: str, view: View) -> None:
+        async for told in self.registers.watch(name):
+            view.seen(self.clock(), told)
+
+    async def pause(self) -> None:
+        await anyio.sleep(LOOK_AGAIN * (1 + self.chance.random()))
+
+    async def change(self, name: str, view: View, make: Callable[[], Any]) -> bool:
+        """Write what `make` gives over the version seen; whether the register is then known to hold it."""
+        async with view.changing:
+            expect = view.lease.version
+            value = make()
+            try:
+                done, told = await self.registers.change(name, expect, value)
+            except EndUnknown:
+                try:
+                    told = await self.registers.read(name)
+                except NoKeeper:
+                    return False
+                done = told.value == value
+            except NoKeeper:
+                return False
+            view.seen(self.clock(), told)
+            return done
+
+    async def renew(self, view: View, work: Any) -> bool:
+        name = next(name for name, one in self.views.items() if one is view)
+        return await self.change(name, view, lambda: view.lease.renewal(self.clock(), work))
+
+    @asynccontextmanager
+    async def hold(self, name: str) -> AsyncIterator[Held]:
+        """Wait until this umpire owns the job and hold it as long as the body runs. Raises TermOver."""
+        view = self.views[name]
+        await self.obtain(name, view)
+        held = Held(self, name, view)
+        self.log("owns", job=name, token=held.token)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.keep, held)
+                with held.scope:
+                    yield held
+                tasks.cancel_scope.cancel()
+        finally:
+            over, held.over = held.over, True
+            self.log("owned", job=name, token=held.token, lost=over)
+            if not over:
+                await self.give_up(name, view, held.token)
+        if over:
+            raise TermOver(name)
+
+    async def obtain(self, name: str, view: View) -> None:
+        lease = view.lease
+        while True:
+            changed = view.changed
+            spread = SPREAD_FREE if lease.state.owner is None else SPREAD
+            due = lease.free_from() + self.chance.random() * spread
+            if lease.mine:
+                due = self.clock()  # a claim of ours of whose end nothing was heard
+                if lease.holds(due):
+                    return
+            wait = due - self.clock()
+            with anyio.move_on_after(max(0.0, min(wait, 3600.0))):
+                await changed.wait()
+                continue
+            if self.clock() < due:
+                continue  # the clock of the loop runs ahead of ours
+            if await self.change(name, view, lambda: lease.claim(self.clock())) and lease.holds(self.clock()):
+                return
+            await self.pause()
+
+    async def keep(self, held: Held) -> None:
+        """Renew until the term is over or another has the job; then end the body."""
+        lease = held.view.lease
+        while True:
+            now = self.clock()
+            mine = lease.mine and lease.state.token == held.token
+            if not mine or now >= lease.until:
+                break
+            due = min(lease.renew_at(), lease.until)
+            changed = held.view.changed
+            if now < due:
+                with anyio.move_on_after(due - now):
+                    await changed.wait()
+                continue
+            with anyio.move_on_after(lease.until - now):
+                if not await self.renew(held.view, lease.state.work):
+                    await self.pause()
+        held.over = True
+        held.scope.cancel()
+
+    async def give_up(self, name: str, view: View, token: int) -> None:
+        """So that the next owner need not wait out the term."""
+        with anyio.move_on_after(RELEASE_WITHIN, shield=True):
+            while view.lease.mine and view.lease.state.token == token:
+                if await self.change(name, view, view.lease.release):
+                    return
+                await self.pause()
--- /dev/null
+++ b/gullmount/rig/terms.py
@@ -0,0 +1,80 @@
+"""A script of failures as its YAML file holds it: a day, the keepers beside it, and faults at their
+moments."""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated, Literal, Self
+
+from pydantic import Field, NonNegativeFloat, PositiveFloat, model_validator
+
+from gullmount.days.terms import DayTerms
+from gullmount.yamlfile import Described
+
+WHO = re.compile(r"(umpire|keeper) (\d+)|(umpires|keepers|owner)")
+
+
+class KeepersTerms(Described):
+    count: Literal[3, 5] = 3
+
+
+class OwnedTerms(Described):
+    """As in an umpire's file, times in seconds; `announce_every` is how often the owner says so."""
+
+    term: PositiveFloat = 2.0
+    margin: PositiveFloat = 0.3
+    answer_within: PositiveFloat = 0.6
+    announce_every: PositiveFloat = 0.2
+
+
+class Fault(Described):
+    """`who` does or suffers it: `umpire 2`, `keeper 1`, `umpires`, `keepers`, or `owner`, whoever that is
+    then.
+
+    kill, term, stop: the process ends, ends in peace, or stands still, and comes back after `length`
+    seconds. blank: as kill, and its disk is gone. older: as kill, with its disk as it was `size` seconds
+    before. cut, slow: its links to `where` (all it has, if empty) bear nothing, or `size` seconds more, for
+    `length`; one way only if `way` says out (what it sends) or in. reset: the connections to `where` are
+    torn.
+    """
+
+    at: NonNegativeFloat
+    do: Literal["kill", "term", "stop", "blank", "older", "cut", "slow", "reset"]
+    who: str
+    where: str = ""
+    way: Literal["both", "out", "in"] = "both"
+    length: NonNegativeFloat = 2.0
+    size: NonNegativeFloat = 1.0
+
+    @model_validator(mode="after")
+    def sound(self) -> Self:
+        for key in ("who", "where"):
+            told = getattr(self, key)
+            if not (WHO.fullmatch(told) or (key == "where" and not told)):
+                raise ValueError(f"{key}: expected umpire N, keeper N, umpires, keepers or owner")
+        if self.do in ("blank", "older") and not self.who.startswith("keeper"):
+            raise ValueError(f"{self.do}: only a keeper's disk can be told apart")
+        return self
+
+
+class RigTerms(DayTerms):
+    keepers: KeepersTerms = KeepersTerms()
+    ownership: OwnedTerms = OwnedTerms()
+    faults: Annotated[list[Fault], Field(max_length=1000)] = []
+
+    @model_validator(mode="after")
+    def faults_sound(self) -> Self:
+        for index, fault in enumerate(self.faults):
+            for told in (fault.who, fault.where):
+                match = WHO.fullmatch(told)
+                if not match or not match[1]:
+                    continue
+                number = int(match[2])
+                known = (
+                    number < self.umpires.count
+                    if match[1] == "umpire"
+                    else 1 <= number <= self.keepers.count
+                )
+                if not known:
+                    raise ValueError(f"faults.{index}: there is no {told}")
+        return self
--- a/gullmount/umpire/terms.py
+++ b/gullmount/umpire/terms.py
@@ -156,6 +156,7 @@
     of: PositiveInt
     zone: str
     listen: Address
+    connect_from: str | None = None  # the host that its connections come from, where there are several
     seed: int | None = None
     remembered: str | None = None
     roster: RosterTerms
