--- a/gullmount/cli.py
+++ b/gullmount/cli.py
@@ -10,12 +10,14 @@
 from dataclasses import asdict
 from pathlib import Path
 from random import Random
+from statistics import median
 from typing import Any
 
 import anyio
 import click
 import structlog
 from rich.console import Console
+from rich.progress import Progress
 from rich.table import Table
 
 from gullmount import __version__, reports
@@ -31,6 +33,8 @@
 from gullmount.ownership.terms import OwnedUmpireTerms
 from gullmount.ownership.umpire import OwningUmpire
 from gullmount.rig import run as rigs
+from gullmount.rig import sweep as rig_sweeps
+from gullmount.rig.explore_all import PLANTS, explore_all
 from gullmount.rig.terms import RigTerms
 from gullmount.standins import record
 from gullmount.umpire import FileMemory, RunningUmpire
@@ -313,6 +317,74 @@
         sys.exit(BAD_INPUT)
 
 
+@rig.command("sweep")
+@click.argument("file", type=Path_)
+@click.option("--seeds", type=(int, int), required=True, help="The first and the last.")
+@click.option("--virtual", is_flag=True, help="In memory and virtual time, one seed a core.")
+@click.option("--json", "as_json", is_flag=True, help="The result as JSON on standard output.")
+def rig_sweep(file: Path, seeds: tuple[int, int], virtual: bool, as_json: bool) -> None:
+    """Play the script in FILE with each seed; a breach is told with the command that plays it again.
+
+    \b
+    gullmount rig sweep days/failures/drawn.yaml --virtual --seeds 1 5000
+    """
+    terms = loaded(file, RigTerms)
+    console = Console(stderr=True)
+    played = []
+    with Progress(console=console) as progress:
+        task = progress.add_task(f"playing {terms.name}", total=seeds[1] - seeds[0] + 1)
+        for one in rig_sweeps.sweep(terms, range(seeds[0], seeds[1] + 1), virtual):
+            played.append(one)
+            progress.advance(task)
+            if one.broken:
+                again = f"gullmount rig run {file} --seed {one.seed}{' --virtual' if virtual else ''}"
+                console.print(f"{again}: {one.broken[0]}", markup=False)
+    spans = sorted(span for one in played for span in one.takeovers)
+    result = {
+        "script": terms.name,
+        "seeds": seeds,
+        "virtual": virtual,
+        "broken": sorted(one.seed for one in played if one.broken),
+        "terms": sum(one.terms for one in played),
+        "effects": sum(one.effects for one in played),
+        "refused": sum(one.refused for one in played),
+        "takeovers": len(spans),
+        "takeover_median": round(median(spans), 3) if spans else None,
+        "takeover_most": round(spans[-1], 3) if spans else None,
+    }
+    if as_json:
+        click.echo(json.dumps(result, indent=1))
+    else:
+        click.echo(", ".join(f"{what} {value}" for what, value in result.items()))
+    sys.exit(BROKEN if result["broken"] else 0)
+
+
+@rig.command("explore")
+@click.option("--plant", default="", help="A defect that must be found: see --plants.")
+@click.option("--plants", is_flag=True, help="Name the defects that can be planted.")
+@click.option("--json", "as_json", is_flag=True, help="The result as JSON on standard output.")
+def rig_explore(plant: str, plants: bool, as_json: bool) -> None:
+    """Look at every order of messages, crashes and ticks among three keepers and two claimants.
+
+    Takes some minutes. Exit code 0 with all promises kept, or with the planted defect found; 1 otherwise.
+    """
+    if plants:
+        click.echo("\n".join(PLANTS))
+        return
+    if plant and plant not in PLANTS:
+        click.echo(f"--plant: no such defect: {plant}", err=True)
+        sys.exit(BAD_INPUT)
+    with Console(stderr=True).status("exploring"):
+        said = explore_all(plant)
+    good = any(one.broken for one in said.values()) if plant else all(one.whole for one in said.values())
+    if as_json:
+        click.echo(json.dumps({what: asdict(one) for what, one in said.items()}, indent=1))
+    else:
+        for what, one in said.items():
+            click.echo(f"{what}: {one.states} states, {one.broken or 'nothing broken'}")
+    sys.exit(0 if good else BROKEN)
+
+
 def tell(about: dict[str, Any], events: list[dict[str, Any]], as_json: bool) -> None:
     findings, summary = check(about, events), summarize(about, events)
     if "keepers" in about["day"]:
--- a/gullmount/keepers/node.py
+++ b/gullmount/keepers/node.py
@@ -17,7 +17,7 @@
 from anyio.abc import TaskGroup
 
 from gullmount.calls import VERSION, Asked, NotUnderstood, Refused, Said, call, check, decode, serve
-from gullmount.keepers.round import Change, Phase, Round
+from gullmount.keepers.round import Phase, Round, Settling
 from gullmount.keepers.store import Damaged, Store, StoreFault
 from gullmount.keepers.terms import KeeperTerms
 from gullmount.keepers.word import Joining, Slot, Word, ballot_of
@@ -214,36 +214,31 @@
         turn = self.turns[register]
         if turn.statistics().tasks_waiting >= WAITING_MOST:
             raise NoMajority("too many wait")
-        mark = f"{self.chance.getrandbits(62):x}"
-        change = Change(register, expect, {"mark": mark, "value": value})
-        begun = False  # whether some keeper may have accepted the change
+        settling = Settling(register, expect, value, f"{self.chance.getrandbits(62):x}")
         wait = BEATEN_WAIT
         with anyio.move_on_after(self.terms.settle_within):
             async with turn:
                 while True:
-                    out = await self.play(change)
-                    begun = begun or out.done
-                    if out.phase is Phase.CHOSEN:
-                        slot = out.result
-                        mine = slot.value is not None and slot.value["mark"] == mark
-                        if begun and not mine and slot.version > (expect or 0):
+                    end = settling.ended(await self.play(settling))
+                    if end is not None:
+                        self.chosen(register, end.slot)
+                        if end.unknown:
                             raise EndUnknown("changed since")
-                        await self.chosen(register, slot)
-                        return mine, slot
+                        return end.done, end.slot
                     await anyio.sleep(self.chance.random() * wait)
                     wait = min(BEATEN_WAIT_MOST, wait * 2)
-        if begun:
+        if settling.begun:
             raise EndUnknown("no majority answered in time")
         raise NoMajority("no majority answered in time")
 
-    async def play(self, change: Change) -> Round:
+    async def play(self, settling: Settling) -> Round:
         """One round, to its end or until too few answer."""
-        register = change.register
+        register = settling.change.register
         slot = self.word.slots.get(register, Slot())
         counter = max(self.counters[register], slot.promised[0]) + 1
         self.counters[register] = counter
         ballot = (counter, self.terms.number, self.word.life)
-        one = Round(change, ballot, self.members, self.word.lives)
+        one = settling.begin(ballot, self.members, self.word.lives)
         for phase in (Phase.PREPARE, Phase.ACCEPT):
             if one.phase is phase:
                 await self.play_phase(one, phase)
@@ -272,7 +267,7 @@
             for keeper in self.others:
                 tasks.start_soon(hear, keeper)
 
-    async def chosen(self, register: str, slot: Slot) -> None:
+    def chosen(self, register: str, slot: Slot) -> None:
         value = None if slot.value is None else slot.value["value"]
         if self.show(register, slot.version, value):
             told = {"do": "chosen", "register": register, "version": slot.version, "value": value}
--- a/gullmount/keepers/round.py
+++ b/gullmount/keepers/round.py
@@ -103,3 +103,35 @@
         same = sum(slot.accepted == self.current.accepted for slot in slots)
         self.phase = Phase.CHOSEN if not self.done and same >= self.needed else Phase.ACCEPT
         return True
+
+
+@dataclass(frozen=True)
+class End:
+    """How a change ended: whether it was made, or `unknown`; and what is chosen."""
+
+    done: bool
+    slot: Slot
+    unknown: bool = False
+
+
+class Settling:
+    """One change over as many rounds as it takes; `mark` tells its value from the same one of another."""
+
+    def __init__(self, register: str, expect: int | None, value: Any, mark: str) -> None:
+        self.change = Change(register, expect, {"mark": mark, "value": value})
+        self.mark = mark
+        self.begun = False  # whether a keeper may have accepted it
+
+    def begin(self, ballot: Ballot, members: tuple[int, ...], lives: dict[int, int]) -> Round:
+        return Round(self.change, ballot, members, lives)
+
+    def ended(self, one: Round) -> End | None:
+        """What its last round came to; None where another is needed."""
+        self.begun = self.begun or one.done
+        if one.phase is not Phase.CHOSEN:
+            return None
+        slot = one.result
+        mine = slot.value is not None and slot.value["mark"] == self.mark
+        # Another's change stands over the version that ours may have made, or stands in its place.
+        unknown = self.begun and not mine and slot.version > (self.change.expect or 0) + 1
+        return End(mine, slot, unknown)
--- a/gullmount/rig/run.py
+++ b/gullmount/rig/run.py
@@ -20,6 +20,7 @@
 from gullmount.net import Datagrams, Stream, TcpNet
 from gullmount.ownership.terms import OwnedUmpireTerms
 from gullmount.ownership.umpire import OwningUmpire
+from gullmount.rig.drawn import draw
 from gullmount.rig.processes import Process
 from gullmount.rig.terms import WHO, Fault, RigTerms
 from gullmount.rig.wires import Messages, Wire
@@ -223,6 +224,10 @@
         services = Party(self.links, f"{block}.3.3", "owners", terms.zones[0], tasks)
         self.owners = OwnersStandIn(tasks, services, f"{block}.3.3:{OWNERS}", self.record)
         self.wires: dict[tuple[str, str], Wire] = {}
+        self.faults = list(terms.faults)
+        if terms.drawn is not None:
+            chance, umpires = Random(seed), terms.umpires.count
+            self.faults += draw(chance, terms.drawn, terms.length, umpires, terms.keepers.count)
 
     def start_owning(self, terms: UmpireTerms, **given: Any) -> Any:
         return OwningUmpire(self.owned_terms(terms), clock=anyio.current_time, **given)
@@ -309,7 +314,7 @@
         self.tasks.start_soon(self.owners.run)
         for keeper in self.keepers.values():
             keeper.begin(found=True)
-        for number, fault in enumerate(self.terms.faults):
+        for number, fault in enumerate(self.faults):
             self.tasks.start_soon(self.run_fault, number, fault)
         await super().play()
 
--- a/gullmount/rig/terms.py
+++ b/gullmount/rig/terms.py
@@ -14,6 +14,9 @@
 WHO = re.compile(r"(umpire|keeper) (\d+)|(umpires|keepers|owner)")
 
 
+Kind = Literal["kill", "term", "stop", "blank", "older", "cut", "slow", "reset"]
+
+
 class KeepersTerms(Described):
     count: Literal[3, 5] = 3
 
@@ -39,7 +42,7 @@
     """
 
     at: NonNegativeFloat
-    do: Literal["kill", "term", "stop", "blank", "older", "cut", "slow", "reset"]
+    do: Kind
     who: str
     where: str = ""
     way: Literal["both", "out", "in"] = "both"
@@ -57,10 +60,26 @@
         return self
 
 
+class Drawn(Described):
+    """How many more faults a seed draws, of which kinds; lengths and sizes in seconds."""
+
+    count: tuple[Annotated[int, Field(ge=0)], Annotated[int, Field(le=100)]]
+    kinds: Annotated[list[Kind], Field(min_length=1)]
+    lengths: tuple[NonNegativeFloat, NonNegativeFloat] = (0.2, 6.0)
+    sizes: tuple[NonNegativeFloat, NonNegativeFloat] = (0.05, 2.0)
+
+    @model_validator(mode="after")
+    def sound(self) -> Self:
+        if self.count[0] > self.count[1]:
+            raise ValueError("count: the first is more than the second")
+        return self
+
+
 class RigTerms(DayTerms):
     keepers: KeepersTerms = KeepersTerms()
     ownership: OwnedTerms = OwnedTerms()
     faults: Annotated[list[Fault], Field(max_length=1000)] = []
+    drawn: Drawn | None = None
 
     @model_validator(mode="after")
     def faults_sound(self) -> Self:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -20,6 +20,7 @@
 from gullmount.ownership.lease import DRIFT, Lease
 from gullmount.ownership.terms import OwnedUmpireTerms
 from gullmount.rig import run as rig
+from gullmount.rig.sweep import sweep
 from gullmount.rig.terms import RigTerms
 from gullmount.yamlfile import BadFile, parse, read
 from tests.edge import terms as umpire_terms
@@ -245,6 +246,13 @@
     assert check.returncode == 0
 
 
+def test_drawn_faults_keep_the_promises() -> None:
+    terms = read(SCRIPTS / "drawn.yaml", RigTerms)
+    played = list(sweep(terms, range(1, 9), True))
+    assert [one for one in played if one.broken] == []
+    assert sum(one.terms for one in played) > 12 and sum(one.effects for one in played) > 1000
+
+
 EFFECT = {"ev": "effect", "job": "judge", "taken": True}
 
 
