Histories of a register held against one order; a change broken off may be made

Probers in the rig read and change one register at any keeper; checker/histories.py names the operations that cannot be put in order.

--- a/gullmount/cli.py
+++ b/gullmount/cli.py
@@ -22,6 +22,7 @@
 
 from gullmount import __version__, reports
 from gullmount.checker import Finding, Summary, check, summarize
+from gullmount.checker.histories import check_history
 from gullmount.checker.owners import check_owners
 from gullmount.days import from_bench
 from gullmount.days import run as days
@@ -388,7 +389,7 @@
 def tell(about: dict[str, Any], events: list[dict[str, Any]], as_json: bool) -> None:
     findings, summary = check(about, events), summarize(about, events)
     if "keepers" in about["day"]:
-        findings += check_owners(events)
+        findings += [*check_owners(events), check_history(events)]
     broken = any(finding.breaches for finding in findings)
     if as_json:
         result = {
--- a/gullmount/keepers/round.py
+++ b/gullmount/keepers/round.py
@@ -120,14 +120,21 @@
     def __init__(self, register: str, expect: int | None, value: Any, mark: str) -> None:
         self.change = Change(register, expect, {"mark": mark, "value": value})
         self.mark = mark
-        self.begun = False  # whether a keeper may have accepted it
+        self.rounds: list[Round] = []  # the last is the one under way
+
+    @property
+    def begun(self) -> bool:
+        """Whether a keeper may have accepted it, also in the round that is broken off just now."""
+        return any(one.done for one in self.rounds)
 
     def begin(self, ballot: Ballot, members: tuple[int, ...], lives: dict[int, int]) -> Round:
-        return Round(self.change, ballot, members, lives)
+        # Those that never came to writing it say nothing any more.
+        self.rounds = [one for one in self.rounds if one.done][:1]
+        self.rounds.append(Round(self.change, ballot, members, lives))
+        return self.rounds[-1]
 
     def ended(self, one: Round) -> End | None:
         """What its last round came to; None where another is needed."""
-        self.begun = self.begun or one.done
         if one.phase is not Phase.CHOSEN:
             return None
         slot = one.result
--- a/gullmount/rig/explore.py
+++ b/gullmount/rig/explore.py
@@ -93,12 +93,15 @@
         out.words = {number: copied_word(word) for number, word in self.words.items()}
         out.disks = {number: dict(disk) for number, disk in self.disks.items()}
         out.settling = {one: copy(settling) for one, settling in self.settling.items()}
+        for settling in out.settling.values():
+            settling.rounds = []
         out.rounds = {}
         for one, made in self.rounds.items():
             played = out.rounds[one] = copy(made)
             played.known = out.words[one].lives
             played.lives, played.promises = dict(made.lives), dict(made.promises)
             played.accepts = dict(made.accepts)
+            out.settling[one].rounds = [played]
         out.ends = dict(self.ends)
         if self.joining is not None:
             out.joining = copy(self.joining)
--- /dev/null
+++ b/gullmount/rig/probers.py
@@ -0,0 +1,60 @@
+"""Users of registers that read and change one all the time, at whichever keeper, and record what they were
+told."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import anyio
+
+from gullmount.keepers.client import EndUnknown, KeeperCalls, NoKeeper, Told
+from gullmount.net import Streams
+from gullmount.standins.record import Record
+
+REGISTER = "probe"
+CHANGES = 0.6  # share of its operations that are changes
+STALE = 0.2  # share of these that are asked for over an older version than it knows
+
+
+class Prober:
+    """Lives as long as the script."""
+
+    def __init__(
+        self, number: int, net: Streams, addresses: list[str], record: Record, seed: int, every: float
+    ) -> None:
+        self.number = number
+        self.record = record
+        self.random = Random(seed)
+        self.calls = KeeperCalls(net, addresses, self.random, answer_within=1.0)
+        self.every = every
+        self.known = 0
+        self.count = 0
+
+    async def run(self) -> None:
+        while True:
+            await anyio.sleep(self.every * (0.5 + self.random.random()))
+            self.calls.preferred[REGISTER] = self.random.randrange(len(self.calls.addresses))
+            self.count += 1
+            name = f"{self.number}.{self.count}"
+            if self.random.random() < CHANGES:
+                expect = max(0, self.known - (self.random.random() < STALE))
+                await self.ask(name, {"expect": expect, "value": name})
+            else:
+                await self.ask(name, {})
+
+    async def ask(self, name: str, change: dict[str, Any]) -> None:
+        self.record.note("op", op=name, register=REGISTER, **change)
+        told, end = Told(0, None), "done"
+        try:
+            if change:
+                done, told = await self.calls.change(REGISTER, change["expect"], change["value"])
+                end = "done" if done else "other"
+            else:
+                told = await self.calls.read(REGISTER)
+            self.known = max(self.known, told.version)
+        except NoKeeper:
+            end = "none"
+        except EndUnknown:
+            end = "unknown"
+        self.record.note("op_end", op=name, end=end, version=told.version, value=told.value)
--- a/gullmount/rig/run.py
+++ b/gullmount/rig/run.py
@@ -21,6 +21,7 @@
 from gullmount.ownership.terms import OwnedUmpireTerms
 from gullmount.ownership.umpire import OwningUmpire
 from gullmount.rig.drawn import draw
+from gullmount.rig.probers import Prober
 from gullmount.rig.processes import Process
 from gullmount.rig.terms import WHO, Fault, RigTerms
 from gullmount.rig.wires import Messages, Wire
@@ -30,7 +31,7 @@
 
 # Ports by what is reached; where each source has a wire of its own its number is added.
 KEEPER, OWNERS, PEER = 7299, 7003, 7100
-WIRE_KEEPER, WIRE_ANY_KEEPER, WIRE_OWNERS, WIRE_PEER = 7300, 7400, 7700, 8200
+WIRE_KEEPER, WIRE_ANY_KEEPER, WIRE_OWNERS, WIRE_PROBER, WIRE_PEER = 7300, 7400, 7700, 7200, 8200
 KEEPERS_WITHIN = 20.0  # s in which the keepers admit each other at the start
 STARTS = 0.2  # s of a core that a process needs until it serves, by which the clients wait for it
 STOP_WITHIN = 15.0  # s after SIGTERM in which a process ends: a req's route timeout and what it gives up
@@ -258,6 +259,8 @@
         kind, _, number = name.partition(" ")
         if kind == "umpire":
             return self.host_of(int(number))
+        if kind == "prober":
+            return f"{self.block}.6.{number}"
         return f"{self.block}.5.{number}" if kind == "keeper" else f"{self.block}.3.3"
 
     def keeper_address(self, number: int) -> str:
@@ -277,7 +280,7 @@
         elif target.startswith("umpire"):
             port = WIRE_PEER
         else:
-            port = WIRE_KEEPER if kind == "keeper" else WIRE_ANY_KEEPER
+            port = {"keeper": WIRE_KEEPER, "umpire": WIRE_ANY_KEEPER, "prober": WIRE_PROBER}[kind]
         return f"{self.host_named(target)}:{port + int(number)}"
 
     async def lay_wires(self) -> None:
@@ -285,6 +288,8 @@
         keepers = [f"keeper {one}" for one in self.keeper_numbers]
         pairs = [(one, other) for one in keepers for other in keepers if one != other]
         pairs += [(one, other) for one in umpires for other in [*keepers, "owners"]]
+        probers = [f"prober {one}" for one in range(1, self.terms.probers + 1)]
+        pairs += [(one, other) for one in probers for other in keepers]
         for source, target in pairs:
             wire = self.wires[source, target] = Wire(source, target, self.tasks)
             address = self.owners.address
@@ -314,6 +319,12 @@
         self.tasks.start_soon(self.owners.run)
         for keeper in self.keepers.values():
             keeper.begin(found=True)
+        for number in range(1, self.terms.probers + 1):
+            name, bits = f"prober {number}", self.random.getrandbits(60)
+            addresses = [self.wire_address(name, f"keeper {one}") for one in self.keeper_numbers]
+            seat = Seat(self.seat(name))
+            prober = Prober(number, seat, addresses, self.record, bits, self.terms.probe_every)
+            self.tasks.start_soon(prober.run)
         for number, fault in enumerate(self.faults):
             self.tasks.start_soon(self.run_fault, number, fault)
         await super().play()
--- a/gullmount/rig/sweep.py
+++ b/gullmount/rig/sweep.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from gullmount.checker import check
+from gullmount.checker.histories import check_history
 from gullmount.checker.owners import check_owners, takeovers
 from gullmount.days.run import block_of
 from gullmount.rig.run import run
@@ -40,7 +41,7 @@
     owned = check_owners(events)
     broken = [
         f"{breach.t}: {breach.umpire}: {finding.rule}: {breach.what}"
-        for finding in [*owned, *check(about, events)]
+        for finding in [*owned, check_history(events), *check(about, events)]
         for breach in finding.breaches
     ]
     counts = {what: count for finding in owned for what, count in finding.checked.items()}
--- a/gullmount/rig/terms.py
+++ b/gullmount/rig/terms.py
@@ -80,6 +80,8 @@
     ownership: OwnedTerms = OwnedTerms()
     faults: Annotated[list[Fault], Field(max_length=1000)] = []
     drawn: Drawn | None = None
+    probers: Annotated[int, Field(ge=0, le=50)] = 0  # that read and change a register all the time
+    probe_every: PositiveFloat = 0.1
 
     @model_validator(mode="after")
     def faults_sound(self) -> Self:
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -15,7 +15,7 @@
 from gullmount.days.run import in_virtual_time
 from gullmount.keepers.client import EndUnknown, KeeperCalls, NoKeeper, Told
 from gullmount.keepers.node import Keeper
-from gullmount.keepers.round import Change, Phase, Round
+from gullmount.keepers.round import Change, Phase, Round, Settling
 from gullmount.keepers.store import Damaged, MemoryStore, SqliteStore, StoreFault
 from gullmount.keepers.terms import KeeperTerms
 from gullmount.keepers.word import Joining, Word, needed
@@ -223,6 +223,19 @@
     assert one.heard(3, Phase.PREPARE, answers[3])
 
 
+def test_change_that_is_broken_off_while_it_is_written_may_have_been_made() -> None:
+    """Guards against "nothing was changed" where the time was up in the second phase."""
+    words = {number: Word(number, THREE) for number in THREE}
+    settling = Settling("job", 0, "a", "mark")
+    one = settling.begin((1, 1, 0), THREE, words[1].lives)
+    assert not settling.begun
+    for number in (1, 2):
+        one.heard(number, Phase.PREPARE, words[number].prepare("job", one.ballot))
+    assert one.phase is Phase.ACCEPT and settling.begun
+    settling.begin((2, 1, 0), THREE, words[1].lives)
+    assert settling.begun
+
+
 @pytest.mark.parametrize(
     "message",
     [
