What lies in a slow link outlives its sender; a receiver learns the token before it believes

The receiver of announcements can be killed; it reads the job's register first. Without that the old effect is taken (test, checker finds it). The history checker found a rig that took up the disks of an earlier run in the same folder; they are removed at start.

--- a/gullmount/rig/drawn.py
+++ b/gullmount/rig/drawn.py
@@ -16,7 +16,7 @@
     keepers bear, and what is told of them would be no breach."""
     out: list[Fault] = []
     names = [*(f"umpire {one}" for one in range(umpires)), *(f"keeper {one + 1}" for one in range(keepers))]
-    places = [*names, "umpires", "keepers", "owner"]
+    places = [*names, "umpires", "keepers", "owner", "receiver"]
     kinds = list(told.kinds)
     for _ in range(random.randint(*told.count)):
         do = random.choice(kinds)
@@ -24,7 +24,8 @@
             kinds = [kind for kind in kinds if kind not in DISKS]
             who = f"keeper {random.randint(1, keepers)}"
         else:
-            who = random.choice(["owner", "owner", "keepers", *names])
+            whole = ["receiver"] if do not in ("term", "stop") else []
+            who = random.choice(["owner", "owner", "keepers", *whole, *names])
         out.append(
             Fault(
                 at=round(random.uniform(0.5, length * 0.8), 3),
--- a/gullmount/rig/run.py
+++ b/gullmount/rig/run.py
@@ -14,10 +14,12 @@
 from anyio.abc import TaskGroup
 
 from gullmount.days.run import BLOCK, Deployment, Life, in_virtual_time
+from gullmount.keepers.client import KeeperCalls, NoKeeper
 from gullmount.keepers.node import Keeper
 from gullmount.keepers.store import MemoryStore
 from gullmount.keepers.terms import KeeperTerms
 from gullmount.net import Datagrams, Stream, TcpNet
+from gullmount.ownership.lease import state_of
 from gullmount.ownership.terms import OwnedUmpireTerms
 from gullmount.ownership.umpire import OwningUmpire
 from gullmount.rig.drawn import draw
@@ -35,6 +37,7 @@
 KEEPERS_WITHIN = 20.0  # s in which the keepers admit each other at the start
 STARTS = 0.2  # s of a core that a process needs until it serves, by which the clients wait for it
 STOP_WITHIN = 15.0  # s after SIGTERM in which a process ends: a req's route timeout and what it gives up
+RECEIVER = "receiver 0"  # whom owners announce themselves to
 OVERRUN = 60.0  # s beyond its length after which a script on processes is broken off
 
 
@@ -215,6 +218,8 @@
     ) -> None:
         self.virtual = virtual
         self.folder = folder
+        for old in [*folder.glob("keeper-*"), *folder.glob("umpire-*")]:
+            shutil.rmtree(old)  # disks of an earlier script would be taken for this one's
         if not virtual:
             self.life = UmpireProcess
             self.lead = 2.0 + STARTS * terms.umpires.count
@@ -223,13 +228,25 @@
         self.keeper_numbers = range(1, terms.keepers.count + 1)
         self.keepers = {number: KeeperLife(self, number) for number in self.keeper_numbers}
         services = Party(self.links, f"{block}.3.3", "owners", terms.zones[0], tasks)
-        self.owners = OwnersStandIn(tasks, services, f"{block}.3.3:{OWNERS}", self.record)
+        self.owners = OwnersStandIn(services, f"{block}.3.3:{OWNERS}", self.record, self.learn)
         self.wires: dict[tuple[str, str], Wire] = {}
+        self.chance = Random(self.random.getrandbits(60))
         self.faults = list(terms.faults)
         if terms.drawn is not None:
             chance, umpires = Random(seed), terms.umpires.count
             self.faults += draw(chance, terms.drawn, terms.length, umpires, terms.keepers.count)
 
+    async def learn(self, job: str) -> int | None:
+        """The token that the register of a job holds, for a receiver that has just started; None where no
+        keeper says."""
+        addresses = [self.wire_address(RECEIVER, f"keeper {one}") for one in self.keeper_numbers]
+        within = self.terms.ownership.answer_within
+        calls = KeeperCalls(Seat(self.seat(RECEIVER)), addresses, self.chance, within)
+        try:
+            return state_of((await calls.read(job)).value).token
+        except NoKeeper:
+            return None
+
     def start_owning(self, terms: UmpireTerms, **given: Any) -> Any:
         return OwningUmpire(self.owned_terms(terms), clock=anyio.current_time, **given)
 
@@ -241,7 +258,7 @@
             "term": told.term,
             "margin": told.margin,
             "answer_within": told.answer_within,
-            "announce": {"address": self.wire_address(me, "owners"), "every": told.announce_every},
+            "announce": {"address": self.wire_address(me, RECEIVER), "every": told.announce_every},
         }
         peers = terms.peers
         if peers is not None:
@@ -275,25 +292,25 @@
     def wire_address(self, source: str, target: str) -> str:
         """Where `source` finds the wire to `target`."""
         kind, _, number = source.partition(" ")
-        if target == "owners":
+        if target == RECEIVER:
             port = WIRE_OWNERS
         elif target.startswith("umpire"):
             port = WIRE_PEER
         else:
-            port = {"keeper": WIRE_KEEPER, "umpire": WIRE_ANY_KEEPER, "prober": WIRE_PROBER}[kind]
+            port = {"keeper": WIRE_KEEPER, "umpire": WIRE_ANY_KEEPER}.get(kind, WIRE_PROBER)
         return f"{self.host_named(target)}:{port + int(number)}"
 
     async def lay_wires(self) -> None:
         umpires = [f"umpire {one}" for one in range(self.terms.umpires.count)]
         keepers = [f"keeper {one}" for one in self.keeper_numbers]
         pairs = [(one, other) for one in keepers for other in keepers if one != other]
-        pairs += [(one, other) for one in umpires for other in [*keepers, "owners"]]
+        pairs += [(one, other) for one in umpires for other in [*keepers, RECEIVER]]
         probers = [f"prober {one}" for one in range(1, self.terms.probers + 1)]
-        pairs += [(one, other) for one in probers for other in keepers]
+        pairs += [(one, other) for one in [*probers, RECEIVER] for other in keepers]
         for source, target in pairs:
             wire = self.wires[source, target] = Wire(source, target, self.tasks)
             address = self.owners.address
-            if target != "owners":
+            if target != RECEIVER:
                 address = self.keeper_address(int(target.partition(" ")[2]))
             there, here = Seat(self.seat(target)), Seat(self.seat(source))
             self.tasks.start_soon(wire.run, there, self.wire_address(source, target), here, address)
@@ -352,6 +369,8 @@
             return []
         if match[1]:
             return [told]
+        if match[3] == "receiver":
+            return [RECEIVER]
         if match[3] == "umpires":
             return [f"umpire {one}" for one in range(self.terms.umpires.count)]
         if match[3] == "keepers":
@@ -392,7 +411,11 @@
 
     async def fail_process(self, fault: Fault, number: int, name: str) -> None:
         kind, _, text = name.partition(" ")
-        if fault.do == "stop":
+        if name == RECEIVER:
+            self.owners.kill()
+            await anyio.sleep(fault.length)
+            self.tasks.start_soon(self.owners.run)
+        elif fault.do == "stop":
             await self.stop_process(name, fault.length)
         elif kind == "umpire":
             life = self.lives[int(text)]
--- a/gullmount/rig/terms.py
+++ b/gullmount/rig/terms.py
@@ -11,7 +11,7 @@
 from gullmount.days.terms import DayTerms
 from gullmount.yamlfile import Described
 
-WHO = re.compile(r"(umpire|keeper) (\d+)|(umpires|keepers|owner)")
+WHO = re.compile(r"(umpire|keeper) (\d+)|(umpires|keepers|owner|receiver)")
 
 
 Kind = Literal["kill", "term", "stop", "blank", "older", "cut", "slow", "reset"]
@@ -31,8 +31,8 @@
 
 
 class Fault(Described):
-    """`who` does or suffers it: `umpire 2`, `keeper 1`, `umpires`, `keepers`, or `owner`, whoever that is
-    then.
+    """`who` does or suffers it: `umpire 2`, `keeper 1`, `umpires`, `keepers`, `owner` (whoever that is then)
+    or `receiver`, whom owners announce themselves to.
 
     kill, term, stop: the process ends, ends in peace, or stands still, and comes back after `length`
     seconds. blank: as kill, and its disk is gone. older: as kill, with its disk as it was `size` seconds
@@ -54,9 +54,11 @@
         for key in ("who", "where"):
             told = getattr(self, key)
             if not (WHO.fullmatch(told) or (key == "where" and not told)):
-                raise ValueError(f"{key}: expected umpire N, keeper N, umpires, keepers or owner")
+                raise ValueError(f"{key}: expected umpire N, keeper N, umpires, keepers, owner or receiver")
         if self.do in ("blank", "older") and not self.who.startswith("keeper"):
             raise ValueError(f"{self.do}: only a keeper's disk can be told apart")
+        if self.who == "receiver" and self.do in ("term", "stop"):
+            raise ValueError(f"{self.do}: the receiver is no process")
         return self
 
 
--- a/gullmount/rig/wires.py
+++ b/gullmount/rig/wires.py
@@ -14,6 +14,7 @@
 from gullmount.net import BROKEN, Datagrams, Stream, Streams, abort
 
 CHUNK = 65536  # bytes read at once
+CHUNKS_MOST = 64  # chunks of one way on a slow or cut link; the sender waits then, as for a full buffer
 
 
 class Wire:
@@ -62,19 +63,24 @@
         await listening.serve(listen, carry)
 
     async def carry(self, near: Stream, dialling: Streams, address: str) -> None:
+        """One connection. What was read of it is on its way: it comes out even if the source has died."""
+        out, back = Lane(self, "out"), Lane(self, "in")
         far: Stream | None = None
         with anyio.CancelScope() as scope:
             self.scopes.add(scope)
             try:
-                await self.passable("out")
-                await self.passable("in")
-                try:
-                    far = await dialling.connect(address)
-                except OSError:
-                    return
                 async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(self.pump, near, far, "out", tasks.cancel_scope)
-                    tasks.start_soon(self.pump, far, near, "in", tasks.cancel_scope)
+                    tasks.start_soon(out.read, near)
+                    await self.passable("out")
+                    await self.passable("in")
+                    try:
+                        far = await dialling.connect(address)
+                    except OSError:
+                        tasks.cancel_scope.cancel()
+                        return
+                    tasks.start_soon(back.read, far)
+                    tasks.start_soon(out.write, far, tasks.cancel_scope)
+                    tasks.start_soon(back.write, near, tasks.cancel_scope)
             finally:
                 self.scopes.discard(scope)
                 with anyio.CancelScope(shield=True):
@@ -82,23 +88,47 @@
                         if stream is not None:
                             await abort(stream)
 
-    async def pump(self, near: Stream, far: Stream, way: str, scope: anyio.CancelScope) -> None:
-        try:
-            while True:
-                data = await near.receive(CHUNK)
-                await self.passable(way)
-                await far.send(data)
-        except anyio.EndOfStream:
-            await self.passable(way)
-            if way == "out":
+
+class Lane:
+    """One way of one connection."""
+
+    def __init__(self, wire: Wire, way: str) -> None:
+        self.wire = wire
+        self.way = way
+        self.put, self.take = anyio.create_memory_object_stream[tuple[float, bytes | None]](CHUNKS_MOST)
+
+    async def read(self, stream: Stream) -> None:
+        """Until it ends; None stands for a broken end, empty bytes for one in peace."""
+        last: bytes | None = b""
+        with self.put:
+            try:
+                while True:
+                    data = await stream.receive(CHUNK)
+                    await self.put.send((anyio.current_time() + self.wire.slower[self.way], data))
+            except anyio.EndOfStream:
+                pass
+            except BROKEN:
+                last = None
+            try:
+                await self.put.send((anyio.current_time() + self.wire.slower[self.way], last))
+            except anyio.BrokenResourceError:
+                pass  # the other side is gone before
+
+    async def write(self, stream: Stream, scope: anyio.CancelScope) -> None:
+        with self.take:
+            async for due, data in self.take:
+                await anyio.sleep_until(due)
+                while self.wire.cuts[self.way]:
+                    await self.wire.mended.wait()
                 try:
-                    await far.send_eof()
-                    return
+                    if data:
+                        await stream.send(data)
+                    elif data is None or self.way == "in":
+                        scope.cancel()
+                    else:
+                        await stream.send_eof()
                 except BROKEN:
-                    pass
-        except BROKEN:
-            pass
-        scope.cancel()
+                    return
 
 
 class Messages:
--- a/gullmount/standins/owners.py
+++ b/gullmount/standins/owners.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+
 import anyio
 import msgspec
-from anyio.abc import TaskGroup
 
 from gullmount.calls import Asked, NotUnderstood, Said, check, decode, serve
 from gullmount.net import Stream
@@ -15,31 +16,49 @@
 
 
 class OwnersStandIn:
-    """Lives as long as the day."""
+    """Lives as long as the day; `kill` ends what it knows, `run` begins anew.
+
+    `learn` gives the token that a job has now: nobody is believed before it was learnt.
+    """
 
-    def __init__(self, tasks: TaskGroup, party: Party, address: str, record: Record) -> None:
-        self.tasks = tasks
+    def __init__(
+        self, party: Party, address: str, record: Record, learn: Callable[[str], Awaitable[int | None]]
+    ) -> None:
         self.party = party
         self.address = address
         self.record = record
+        self.learn = learn
         self.tokens: dict[str, int] = {}  # by job: the highest seen
         self.owners: dict[str, int] = {}  # by job: whose announcement was taken last
+        self.scope: anyio.CancelScope | None = None
 
     async def run(self) -> None:
-        await self.party.serve(self.address, self.connected)
+        if self.scope is None:
+            with anyio.CancelScope() as self.scope:
+                await self.party.serve(self.address, self.connected)
+
+    def kill(self) -> None:
+        if self.scope is not None:
+            scope, self.scope = self.scope, None
+            scope.cancel()
+        self.tokens = {}
 
     async def connected(self, stream: Stream) -> None:
         await serve(stream, self.answer, BODY_MOST)
 
     async def answer(self, asked: Asked, stream: Stream) -> Said:
-        await anyio.lowlevel.checkpoint()
         fields = {"job": str, "owner": int, "token": int, "number": int}
         try:
             told = check(decode(asked.body), dict(fields))
         except NotUnderstood as fault:
             return Said(400, f"{fault}\n".encode())
         job, owner, token = told["job"], told["owner"], told["token"]
-        taken = token >= self.tokens.get(job, 0)
+        if job not in self.tokens:
+            learnt = await self.learn(job)
+            if learnt is None:
+                return Said(503, b"the job's token is not known yet\n")
+            self.tokens[job] = max(learnt, self.tokens.get(job, 0))
+        taken = token >= self.tokens[job]
         source = self.party.links.names.get(source_of(stream), "")
         said = {"job": job, "owner": owner, "token": token, "number": told["number"]}
         self.record.note("effect", **said, source=source, taken=taken)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -246,6 +246,26 @@
     assert check.returncode == 0
 
 
+@pytest.mark.parametrize("learns", [True, False])
+def test_effect_from_a_slow_link_is_refused_by_a_receiver_that_has_just_started(
+    learns: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def nothing(self: rig.RigDeployment, job: str) -> int:
+        return 0
+
+    if not learns:
+        monkeypatch.setattr(rig.RigDeployment, "learn", nothing)
+    terms = read(SCRIPTS / "late-effect.yaml", RigTerms)
+    # The new owner is silent while the old one's effect comes out of its link.
+    silent = {"at": 5.5, "do": "cut", "who": "owner", "where": "receiver", "way": "out", "length": 4}
+    told = terms.model_dump()
+    told["faults"].append(silent)
+    _, lines = rig.run(RigTerms.model_validate(told), 1, True, "", tmp_path)
+    findings = check_owners([json.loads(line) for line in lines.splitlines()])
+    broken = [finding.rule for finding in findings if finding.breaches]
+    assert broken == ([] if learns else ["tokens grow"])
+
+
 def test_drawn_faults_keep_the_promises() -> None:
     terms = read(SCRIPTS / "drawn.yaml", RigTerms)
     played = list(sweep(terms, range(1, 9), True))
