--- /dev/null
+++ b/benchmarks/ownership.py
@@ -0,0 +1,201 @@
+"""What ownership costs and how quickly a job moves.
+
+    python benchmarks/ownership.py changes     # changes a second at three keepers, and the time of one
+    python benchmarks/ownership.py idle        # memory and CPU of keepers that nobody asks but by watches
+    python benchmarks/ownership.py takeover    # s without an owner by kind of fault, virtual, 100 seeds each
+    python benchmarks/ownership.py messages    # an umpire's lines and calls a second by number, virtual
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+import tempfile
+import time
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+from pathlib import Path
+from random import Random
+from statistics import median
+from typing import Any, ClassVar
+
+import anyio
+import msgspec
+
+from gullmount.days.run import block_of, in_virtual_time
+from gullmount.keepers.client import KeeperCalls, Told
+from gullmount.keepers.node import Keeper
+from gullmount.keepers.store import MemoryStore
+from gullmount.keepers.terms import KeeperTerms
+from gullmount.net import MemoryNet, TcpNet
+from gullmount.ownership.jobs import Jobs
+from gullmount.rig.processes import Process
+from gullmount.rig.sweep import play_one
+from gullmount.rig.terms import RigTerms
+from gullmount.standins.links import Links, Party
+from gullmount.yamlfile import read
+
+SPAN = 6.0  # s measured
+SCRIPT = Path(__file__).parent.parent / "days" / "failures" / "short.yaml"
+KINDS = ("kill", "cut", "stop", "term")
+SEEDS = 100
+
+
+def spread(times: list[float]) -> str:
+    ordered = sorted(times)
+    late = ordered[int(len(ordered) * 0.99)]
+    return f"median {median(ordered):.4f} s, 99th {late:.4f} s, of {len(ordered)}"
+
+
+# On processes
+
+
+async def with_keepers(program: Any) -> None:
+    block = block_of(os.getpid())
+    members = {number: f"{block}.5.{number}:7299" for number in (1, 2, 3)}
+    with tempfile.TemporaryDirectory() as folder:
+        processes = []
+        for number in members:
+            terms = KeeperTerms(number=number, group="g", members=members, disk=f"{folder}/{number}")
+            file = Path(folder) / f"{number}.yaml"
+            file.write_bytes(msgspec.json.encode(terms.model_dump(mode="json")))
+            processes.append(Process(["keeper", str(file), "--found"], Path(folder) / f"{number}.log"))
+        try:
+            await anyio.sleep(3)
+            await program(list(members.values()), [one.process.pid for one in processes])
+        finally:
+            for process in processes:
+                process.kill()
+
+
+async def changes(addresses: list[str], pids: list[int]) -> None:
+    for clients in (1, 8, 32):
+        times: list[float] = []
+
+        async def change(number: int, times: list[float]) -> None:
+            calls = KeeperCalls(TcpNet(), addresses, Random(number), 5.0)
+            told = await calls.read(f"job-{number}")
+            until = time.monotonic() + SPAN
+            while time.monotonic() < until:
+                begun = time.monotonic()
+                _, told = await calls.change(f"job-{number}", told.version, {"owner": number, "beat": begun})
+                times.append(time.monotonic() - begun)
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(clients):
+                tasks.start_soon(change, number, times)
+        print(f"{clients} clients: {len(times) / SPAN:.0f} changes/s, {spread(times)}", flush=True)
+
+
+def used(pid: int) -> tuple[float, float]:
+    """CPU seconds and MB."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    cpu = (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+    return cpu, int(fields[21]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+async def idle(addresses: list[str], pids: list[int]) -> None:
+    async def watch(number: int) -> None:
+        async for _ in KeeperCalls(TcpNet(), addresses, Random(number), 5.0).watch("judge"):
+            pass
+
+    for watches in (0, 100):
+        async with anyio.create_task_group() as tasks:
+            for number in range(watches):
+                tasks.start_soon(watch, number)
+            await anyio.sleep(2)
+            before = [used(pid)[0] for pid in pids]
+            await anyio.sleep(SPAN)
+            after = [used(pid) for pid in pids]
+            cpu = max(now - then for (now, _), then in zip(after, before, strict=True)) / SPAN
+            most = max(mb for _, mb in after)
+            print(f"{watches} watches: {most:.1f} MB, {cpu * 100:.2f} % of a core, the worst keeper")
+            tasks.cancel_scope.cancel()
+
+
+# In virtual time
+
+
+def one_takeover(kind: str, seed: int) -> list[float]:
+    at = 2.0 + Random(seed).random() * 2
+    fault = {"at": at, "do": kind, "who": "owner", "where": "keepers" if kind == "cut" else "", "length": 9}
+    told = read(SCRIPT, RigTerms).model_dump() | {"length": 9, "faults": [fault], "probers": 0}
+    told["ownership"] |= {"term": 3.0, "margin": 0.3, "answer_within": 1.0}
+    played = play_one(RigTerms.model_validate(told), seed, True)
+    assert not played.broken, (kind, seed, played.broken)
+    return played.takeovers[:1]
+
+
+def takeover() -> None:
+    with ProcessPoolExecutor() as pool:
+        for kind in KINDS:
+            found = pool.map(partial(one_takeover, kind), range(SEEDS))
+            print(f"{kind}: {spread([span for one in found for span in one])}", flush=True)
+
+
+class Counting(KeeperCalls):
+    """Counts what comes and goes by one umpire."""
+
+    counts: ClassVar[Counter[str]] = Counter()
+
+    async def settle(self, message: dict[str, Any]) -> tuple[bool, Told]:
+        self.counts["calls"] += 1
+        return await super().settle(message)
+
+    async def watch(self, register: str) -> Any:
+        async for told in super().watch(register):
+            self.counts["lines"] += 1
+            yield told
+
+
+async def counted(umpires: int) -> None:
+    links = Links(MemoryNet(), 1)
+    links.same = links.cross = 0.001
+    members = {number: f"10.0.0.{number}:7299" for number in (1, 2, 3)}
+    async with anyio.create_task_group() as tasks:
+        for number in members:
+            terms = KeeperTerms(number=number, group="g", members=members, disk="none")
+            party = Party(links, f"10.0.0.{number}", f"keeper {number}", "a", tasks)
+            made = Keeper(terms, net=party, store=MemoryStore(), chance=Random(number), found=True)
+            tasks.start_soon(made.run)
+        await anyio.sleep(1)
+
+        async def own(jobs: Jobs) -> None:
+            async with jobs.hold("judge"):
+                await anyio.sleep_forever()
+
+        for number in range(umpires):
+            host = f"10.1.{number // 200}.{number % 200}"
+            party = Party(links, host, f"umpire {number}", "a", tasks)
+            calls = Counting(party, list(members.values()), Random(number), 1.0)
+            chance = Random(number)
+            jobs = Jobs(
+                calls, number, str(number), ["judge"], term=3.0, margin=0.3, chance=chance,
+                clock=anyio.current_time,
+            )  # fmt: skip
+            tasks.start_soon(jobs.run)
+            tasks.start_soon(own, jobs)
+        await anyio.sleep(10)
+        Counting.counts.clear()
+        await anyio.sleep(30)
+        lines, calls_made = (Counting.counts[what] / 30 for what in ("lines", "calls"))
+        print(f"{umpires} umpires: {lines / umpires:.2f} lines/s each, {calls_made:.2f} calls/s in all")
+        tasks.cancel_scope.cancel()
+
+
+def main() -> None:
+    what = sys.argv[1] if len(sys.argv) == 2 else ""
+    if what in ("changes", "idle"):
+        anyio.run(with_keepers, {"changes": changes, "idle": idle}[what])
+    elif what == "takeover":
+        takeover()
+    elif what == "messages":
+        for umpires in (25, 100, 400):
+            in_virtual_time(counted, 1, umpires)
+    else:
+        sys.exit(__doc__)
+
+
+if __name__ == "__main__":
+    main()
--- a/gullmount/checker/owners.py
+++ b/gullmount/checker/owners.py
@@ -5,18 +5,20 @@
 
 from __future__ import annotations
 
+from signal import SIGKILL
 from typing import Any
 
 from gullmount.checker.rules import Breach, Finding
 
 ONE_OWNER = "one owner"  # of one token there is one owner
 TOKENS_GROW = "tokens grow"  # no effect is taken with a lower token than one before
+NO_CRASH = "no crash"  # no process ends but in peace or killed by the rig
 NO_STALE_VOTE = "no stale vote"  # no vote counts that goes by an earlier judge's word
 
 
 def check_owners(events: list[dict[str, Any]]) -> list[Finding]:
     """Each promise over the events in the order in which they happened."""
-    one, grow, stale = Finding(ONE_OWNER), Finding(TOKENS_GROW), Finding(NO_STALE_VOTE)
+    one, grow, stale, crash = map(Finding, (ONE_OWNER, TOKENS_GROW, NO_STALE_VOTE, NO_CRASH))
     owners: dict[tuple[str, int], int] = {}
     highest: dict[str, int] = {}
     taken = [event for event in events if event["ev"] == "effect" and event["taken"]]
@@ -39,7 +41,12 @@
     one.checked = {"terms": len(owners)}
     grow.checked = {"effects": len(taken)}
     stale.checked = {"votes": len(votes)}
-    return [one, grow, stale]
+    ended = [event for event in events if event["ev"] == "process_ended"]
+    for event in ended:
+        if event["code"] not in (0, -SIGKILL):
+            crash.breaches.append(Breach(event["t"], event["who"], f"ended with {event['code']}", []))
+    crash.checked = {"processes": len(ended)}
+    return [one, grow, stale, crash]
 
 
 def takeovers(events: list[dict[str, Any]], job: str) -> list[float]:
--- a/gullmount/days/run.py
+++ b/gullmount/days/run.py
@@ -8,8 +8,6 @@
 from typing import Any
 
 import anyio
-import trio
-import trio.testing
 from anyio.abc import TaskGroup
 
 from gullmount.days.terms import DayTerms
@@ -437,6 +435,8 @@
 
     Trio shuffles each batch of tasks by chance of its own: started from the seed, a run can be played again.
     """
+    import trio.testing  # noqa: PLC0415 (it brings a test runner along, which no serving process needs)
+
     core: Any = trio._core._run
     core._ALLOW_DETERMINISTIC_SCHEDULING = True
     core._r.seed(seed)
--- a/gullmount/rig/run.py
+++ b/gullmount/rig/run.py
@@ -25,7 +25,7 @@
 from gullmount.rig.drawn import draw
 from gullmount.rig.probers import Prober
 from gullmount.rig.processes import Process
-from gullmount.rig.terms import WHO, Fault, RigTerms
+from gullmount.rig.terms import WHO, Fault, RigTerms, names_in
 from gullmount.rig.wires import Messages, Wire
 from gullmount.standins.links import Party
 from gullmount.standins.owners import OwnersStandIn
@@ -154,6 +154,7 @@
             await (self.live_here(found) if self.day.virtual else self.live_apart(found))
 
     async def live_here(self, found: bool) -> None:
+        self.party = self.day.seat(f"keeper {self.number}")
         made = Keeper(
             self.terms(),
             net=self.party,
@@ -364,6 +365,9 @@
         self.record.note("fault_over", **told)
 
     def named(self, told: str) -> list[str]:
+        return [name for one in names_in(told) for name in self.meant(one)]
+
+    def meant(self, told: str) -> list[str]:
         match = WHO.fullmatch(told)
         if match is None:
             return []
--- a/gullmount/rig/terms.py
+++ b/gullmount/rig/terms.py
@@ -30,9 +30,14 @@
     announce_every: PositiveFloat = 0.2
 
 
+def names_in(told: str) -> list[str]:
+    """The parties that a list such as `umpire 2, keepers` names."""
+    return [name.strip() for name in told.split(",") if name.strip()]
+
+
 class Fault(Described):
     """`who` does or suffers it: `umpire 2`, `keeper 1`, `umpires`, `keepers`, `owner` (whoever that is then)
-    or `receiver`, whom owners announce themselves to.
+    or `receiver`, whom owners announce themselves to; several after commas.
 
     kill, term, stop: the process ends, ends in peace, or stands still, and comes back after `length`
     seconds. blank: as kill, and its disk is gone. older: as kill, with its disk as it was `size` seconds
@@ -53,9 +58,9 @@
     def sound(self) -> Self:
         for key in ("who", "where"):
             told = getattr(self, key)
-            if not (WHO.fullmatch(told) or (key == "where" and not told)):
+            if not all(map(WHO.fullmatch, names_in(told))) or not (told or key == "where"):
                 raise ValueError(f"{key}: expected umpire N, keeper N, umpires, keepers, owner or receiver")
-        if self.do in ("blank", "older") and not self.who.startswith("keeper"):
+        if self.do in ("blank", "older") and not re.fullmatch(r"keeper \d+", self.who):
             raise ValueError(f"{self.do}: only a keeper's disk can be told apart")
         if self.who == "receiver" and self.do in ("term", "stop"):
             raise ValueError(f"{self.do}: the receiver is no process")
@@ -88,7 +93,7 @@
     @model_validator(mode="after")
     def faults_sound(self) -> Self:
         for index, fault in enumerate(self.faults):
-            for told in (fault.who, fault.where):
+            for told in names_in(fault.who) + names_in(fault.where):
                 match = WHO.fullmatch(told)
                 if not match or not match[1]:
                     continue
--- a/gullmount/standins/links.py
+++ b/gullmount/standins/links.py
@@ -170,10 +170,13 @@
         self.zone = zone
         self.tasks = tasks
         self.open: dict[Stream, None] = {}
+        self.dead = False  # what its tasks do while they unwind reaches nobody
         self.tcp = TcpNet(local_host=host)
         links.place(host, name, zone)
 
     async def connect(self, address: str) -> Stream:
+        if self.dead:
+            raise ConnectionAbortedError("the machine is dead")
         links, there, begun = self.links, self.links.zone_at(address), anyio.current_time()
         await links.whole(self.zone, there)
         await anyio.sleep(links.delay(self.zone, there) * 2)
@@ -222,6 +225,7 @@
         return LinkedDatagrams(inner, self.links, self.zone, self.tasks)
 
     async def kill(self) -> None:
+        self.dead = True
         with anyio.CancelScope(shield=True):
             for stream in self.open:
                 await abort(stream)
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -12,6 +12,7 @@
 import pytest
 
 from gullmount.calls import NotUnderstood, call
+from gullmount.checker.histories import check_history
 from gullmount.days.run import in_virtual_time
 from gullmount.keepers.client import EndUnknown, KeeperCalls, NoKeeper, Told
 from gullmount.keepers.node import Keeper
@@ -21,6 +22,7 @@
 from gullmount.keepers.word import Joining, Word, needed
 from gullmount.net import MemoryNet
 from gullmount.standins.links import Links, Party
+from gullmount.standins.record import Record
 from gullmount.yamlfile import BadFile, parse
 
 MEMBERS = {number: f"10.0.0.{number}:7299" for number in (1, 2, 3)}
@@ -223,6 +225,80 @@
     assert one.heard(3, Phase.PREPARE, answers[3])
 
 
+class KillingStore(MemoryStore):
+    """Ends its keeper at one write: before it is on the disk, or after, before anything was said."""
+
+    def __init__(self, rows: dict[str, bytes], at: int, before: bool, kill: Callable[[], None]) -> None:
+        super().__init__()
+        self.rows = rows
+        self.left = at
+        self.before = before
+        self.kill = kill
+
+    async def save(self, rows: dict[str, Any]) -> None:
+        self.left -= 1
+        if self.left or not self.before:
+            self.write(rows)
+        if not self.left:
+            self.kill()
+            await anyio.sleep(1)
+
+
+@pytest.mark.parametrize("before", [True, False])
+@pytest.mark.parametrize("number", [1, 2])
+def test_keeper_killed_at_each_write_leaves_one_order(number: int, before: bool) -> None:
+    """The proposer and an acceptor, at every write of two changes; then its disk as it is, or blank."""
+
+    async def scene(group: Group, at: int, blank: bool) -> list[dict[str, Any]]:
+        record, client = Record(), group.client()
+        client.preferred["job"] = 0
+        group.kill(number)
+        await anyio.sleep(1)
+        rows = group.stores[number].rows
+        group.stores[number] = KillingStore(rows, at + 2, before, lambda: group.kill(number))
+        group.begin(number)
+        await anyio.sleep(2)
+
+        async def ask(name: str, expect: int | None) -> None:
+            change = {} if expect is None else {"expect": expect, "value": name}
+            record.note("op", op=name, register="job", **change)
+            told, end = Told(0, None), "none"
+            try:
+                if expect is None:
+                    end, told = "done", await client.read("job")
+                else:
+                    done, told = await client.change("job", expect, name)
+                    end = "done" if done else "other"
+            except EndUnknown:
+                end = "unknown"
+            except NoKeeper:
+                pass
+            record.note("op_end", op=name, end=end, version=told.version, value=told.value)
+
+        for name in ("a", "b"):
+            await ask(name, (await client.read("job")).version)
+        group.stores[number] = MemoryStore()
+        if not blank:
+            group.stores[number].rows = rows
+        group.kill(number)
+        await anyio.sleep(1)
+        group.begin(number)
+        await anyio.sleep(3)
+        other = 3 - number
+        group.kill(other)
+        await ask("c", None)
+        await ask("d", (await client.read("job")).version)
+        await ask("e", None)
+        return record.events
+
+    for at in range(1, 9):
+        for blank in (True, False):
+            events = played(lambda group, at=at, blank=blank: scene(group, at, blank))
+            assert check_history(events).breaches == [], (at, blank)
+            ends = [event["end"] for event in events if event["ev"] == "op_end"]
+            assert ends[-3:] == ["done"] * 3, (at, blank, events)
+
+
 def test_change_that_is_broken_off_while_it_is_written_may_have_been_made() -> None:
     """Guards against "nothing was changed" where the time was up in the second phase."""
     words = {number: Word(number, THREE) for number in THREE}
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -20,7 +20,7 @@
 from gullmount.ownership.lease import DRIFT, Lease
 from gullmount.ownership.terms import OwnedUmpireTerms
 from gullmount.rig import run as rig
-from gullmount.rig.sweep import sweep
+from gullmount.rig.sweep import play_one, sweep
 from gullmount.rig.terms import RigTerms
 from gullmount.yamlfile import BadFile, parse, read
 from tests.edge import terms as umpire_terms
@@ -224,6 +224,13 @@
     return events
 
 
+@pytest.mark.parametrize("name", sorted({path.stem for path in SCRIPTS.glob("*.yaml")} - {"short", "drawn"}))
+def test_hard_cases_in_virtual_time_keep_promises_and_rules(name: str) -> None:
+    played = play_one(read(SCRIPTS / f"{name}.yaml", RigTerms), 1, True)
+    assert played.broken == [], f"gullmount rig run days/failures/{name}.yaml --virtual"
+    assert played.terms >= 2
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_script_in_virtual_time_keeps_the_promises(seed: int, tmp_path: Path) -> None:
     terms = read(SCRIPTS / "short.yaml", RigTerms)
@@ -246,6 +253,15 @@
     assert check.returncode == 0
 
 
+def test_killed_owner_gives_up_nothing(tmp_path: Path) -> None:
+    """Guards against a kill in virtual time whose tasks still release the job while they unwind."""
+    told = read(SCRIPTS / "short.yaml", RigTerms).model_dump()
+    told["faults"] = [{"at": 2, "do": "kill", "who": "owner", "length": 5}]
+    _, lines = rig.run(RigTerms.model_validate(told), 1, True, "", tmp_path)
+    spans = takeovers([json.loads(line) for line in lines.splitlines()], "judge")
+    assert spans and spans[0] > 0.6
+
+
 @pytest.mark.parametrize("learns", [True, False])
 def test_effect_from_a_slow_link_is_refused_by_a_receiver_that_has_just_started(
     learns: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
@@ -281,6 +297,7 @@
     [
         ("one owner", [{**EFFECT, "owner": 1, "token": 4}, {**EFFECT, "owner": 2, "token": 4}]),
         ("tokens grow", [{**EFFECT, "owner": 1, "token": 4}, {**EFFECT, "owner": 2, "token": 3}]),
+        ("no crash", [{"ev": "process_ended", "who": "umpire 1", "code": code} for code in (0, -9, 1)]),
         ("no stale vote", [{"ev": "vote", "umpire": "umpire 1", "token": token} for token in (4, 3)]),
     ],
 )
