--- a/gullmount/commands/days.py
+++ b/gullmount/commands/days.py
@@ -14,7 +14,7 @@
 
 from gullmount import reports
 from gullmount.commands.files import BAD_INPUT, Path_, loaded
-from gullmount.commands.shown import recorded, tell
+from gullmount.commands.shown import recorded, tell, tell_again
 from gullmount.days import from_bench
 from gullmount.days import run as days
 from gullmount.days.terms import DayTerms
@@ -100,12 +100,7 @@
 @click.option("--json", "as_json", is_flag=True, help="The result as JSON on standard output.")
 def day_check(folder: Path, as_json: bool) -> None:
     """Hold the recorded day in FOLDER against the rules again."""
-    about, events = recorded(folder)
-    try:
-        tell(about, events, as_json)
-    except (KeyError, TypeError, AttributeError) as fault:
-        click.echo(f"{folder}: not the record of a day: {fault!r}", err=True)
-        sys.exit(BAD_INPUT)
+    tell_again(folder, as_json, "a day")
 
 
 @day.command("from-bench")
--- a/gullmount/commands/rigs.py
+++ b/gullmount/commands/rigs.py
@@ -15,7 +15,7 @@
 from rich.progress import Progress
 
 from gullmount.commands.files import BAD_INPUT, BROKEN, Path_, loaded
-from gullmount.commands.shown import recorded, tell
+from gullmount.commands.shown import tell, tell_again
 from gullmount.days.run import block_of
 from gullmount.rig import run as rigs
 from gullmount.rig import sweep as rig_sweeps
@@ -62,12 +62,7 @@
 @click.option("--json", "as_json", is_flag=True, help="The result as JSON on standard output.")
 def rig_check(folder: Path, as_json: bool) -> None:
     """Hold the record of a script in FOLDER against the promises and the rules again."""
-    about, events = recorded(folder)
-    try:
-        tell(about, events, as_json)
-    except (KeyError, TypeError, AttributeError) as fault:
-        click.echo(f"{folder}: not the record of a script: {fault!r}", err=True)
-        sys.exit(BAD_INPUT)
+    tell_again(folder, as_json, "a script")
 
 
 @rig.command("sweep")
--- a/gullmount/commands/shown.py
+++ b/gullmount/commands/shown.py
@@ -49,6 +49,16 @@
     sys.exit(BROKEN if broken else 0)
 
 
+def tell_again(folder: Path, as_json: bool, what: str) -> None:
+    """What the record in the folder holds; `what` it should be."""
+    about, events = recorded(folder)
+    try:
+        tell(about, events, as_json)
+    except (KeyError, TypeError, AttributeError) as fault:
+        click.echo(f"{folder}: not the record of {what}: {fault!r}", err=True)
+        sys.exit(BAD_INPUT)
+
+
 def show(about: dict[str, Any], findings: list[Finding], summary: Summary) -> None:
     console = Console()
     kind = "virtual" if about["virtual"] else "on sockets"
