Rig closes its datagram sockets: the next script of a process can bind

Checked with the collector off: two short scripts after one another fail without the change, pass with it. At fault: Messages.run in rig/wires.py left its socket to the collector. Test added, seen to fail unfixed.

--- a/gullmount/rig/wires.py
+++ b/gullmount/rig/wires.py
@@ -145,14 +145,19 @@
         self.late = 0.05
 
     async def run(self, near: Datagrams, far: Datagrams, far_address: str) -> None:
-        """What comes to `near` leaves from `far`, the socket of the way back, for `far_address`."""
-        while True:
-            data, _ = await near.receive()
-            if self.there.cuts["out"] or self.chance() < self.lost:
-                continue
-            wait = self.there.slower["out"] + (self.late if self.chance() < self.reordered else 0.0)
-            for _ in range(2 if self.chance() < self.doubled else 1):
-                self.there.tasks.start_soon(self.deliver, wait, far, data, far_address)
+        """What comes to `near` leaves from `far`, the socket of the way back, for `far_address`. `near` is
+        closed with it: the next script in this process binds the same address."""
+        try:
+            while True:
+                data, _ = await near.receive()
+                if self.there.cuts["out"] or self.chance() < self.lost:
+                    continue
+                wait = self.there.slower["out"] + (self.late if self.chance() < self.reordered else 0.0)
+                for _ in range(2 if self.chance() < self.doubled else 1):
+                    self.there.tasks.start_soon(self.deliver, wait, far, data, far_address)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await near.aclose()
 
     async def deliver(self, wait: float, far: Datagrams, data: bytes, address: str) -> None:
         await anyio.sleep(wait)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import gc
 import json
+import os
 import subprocess
 import sys
 from collections.abc import AsyncIterator
@@ -14,7 +16,7 @@
 import pytest
 
 from gullmount.checker.owners import check_owners, takeovers
-from gullmount.days.run import in_virtual_time
+from gullmount.days.run import block_of, in_virtual_time
 from gullmount.keepers.client import EndUnknown, Told
 from gullmount.ownership.jobs import Held, Jobs, TermOver
 from gullmount.ownership.lease import DRIFT, Lease
@@ -289,6 +291,17 @@
     assert sum(one.terms for one in played) > 12 and sum(one.effects for one in played) > 1000
 
 
+def test_two_scripts_after_one_another_in_one_process(tmp_path: Path) -> None:
+    """Guards against sockets of the first that are open until they are collected: the second could not bind."""
+    told = read(SCRIPTS / "short.yaml", RigTerms).model_dump() | {"length": 0.5, "faults": [], "probers": 0}
+    gc.disable()
+    try:
+        for name in ("one", "other"):
+            rig.run(RigTerms.model_validate(told), 1, False, block_of(os.getpid() + 7), tmp_path / name)
+    finally:
+        gc.enable()
+
+
 EFFECT = {"ev": "effect", "job": "judge", "taken": True}
 
 
