Keepers and jobs read again: one unwrapping of a value, a view knows its name

Read again: a register's mark was taken off in three places of node.py, now value_of; a watch showed what settle had shown already; Jobs looked up a job's name by its view at each renewal, which the view now holds.

--- a/gullmount/keepers/node.py
+++ b/gullmount/keepers/node.py
@@ -268,7 +268,7 @@
                 tasks.start_soon(hear, keeper)
 
     def chosen(self, register: str, slot: Slot) -> None:
-        value = None if slot.value is None else slot.value["value"]
+        value = value_of(slot)
         if self.show(register, slot.version, value):
             told = {"do": "chosen", "register": register, "version": slot.version, "value": value}
             for keeper in self.others:
@@ -321,7 +321,7 @@
         if len(msgspec.json.encode(value)) > VALUE_MOST:
             raise NotUnderstood("value is too long")
         done, slot = await self.settle(told["register"], expect, value)
-        said = line_of(told["register"], slot.version, None if slot.value is None else slot.value["value"])
+        said = line_of(told["register"], slot.version, value_of(slot))
         return reply({**said, "done": done})
 
     async def watch(self, register: str) -> AsyncIterator[bytes]:
@@ -334,8 +334,7 @@
                 # One reading serves all watches of the register; one that fails is made up for by the next.
                 self.shown_at[register] = anyio.current_time()
                 try:
-                    _, slot = await self.settle(register, None, None)
-                    self.show(register, slot.version, None if slot.value is None else slot.value["value"])
+                    await self.settle(register, None, None)
                 except (NoMajority, EndUnknown):
                     continue
                 self.shown.setdefault(register, (0, None))
@@ -353,6 +352,11 @@
                 await changed.wait()
 
 
+def value_of(slot: Slot) -> Any:
+    """What a client wrote, without the mark that it was written with."""
+    return None if slot.value is None else slot.value["value"]
+
+
 def line_of(register: str, version: int, value: Any) -> dict[str, Any]:
     return {"v": VERSION, "register": register, "version": version, "value": value}
 
--- a/gullmount/ownership/jobs.py
+++ b/gullmount/ownership/jobs.py
@@ -43,7 +43,8 @@
 class View:
     """One job as this umpire sees it; lives as long as the umpire."""
 
-    def __init__(self, lease: Lease) -> None:
+    def __init__(self, name: str, lease: Lease) -> None:
+        self.name = name
         self.lease = lease
         self.changed = anyio.Event()
         self.changing = anyio.Lock()
@@ -60,9 +61,9 @@
 class Held:
     """A job that is owned. `token` goes with every effect."""
 
-    def __init__(self, jobs: Jobs, name: str, view: View) -> None:
+    def __init__(self, jobs: Jobs, view: View) -> None:
         self.jobs = jobs
-        self.name = name
+        self.name = view.name
         self.view = view
         self.token = view.lease.state.token
         self.scope = anyio.CancelScope()
@@ -110,31 +111,31 @@
         self.chance = chance
         self.clock = clock
         self.log = log
-        self.views = {name: View(Lease(me, life, term, margin)) for name in names}
+        self.views = {name: View(name, Lease(me, life, term, margin)) for name in names}
 
     async def run(self) -> None:
         """Watch all jobs, until cancelled."""
         async with anyio.create_task_group() as tasks:
-            for name, view in self.views.items():
-                tasks.start_soon(self.watch, name, view)
+            for view in self.views.values():
+                tasks.start_soon(self.watch, view)
 
-    async def watch(self, name: str, view: View) -> None:
-        async for told in self.registers.watch(name):
+    async def watch(self, view: View) -> None:
+        async for told in self.registers.watch(view.name):
             view.seen(self.clock(), told)
 
     async def pause(self) -> None:
         await anyio.sleep(LOOK_AGAIN * (1 + self.chance.random()))
 
-    async def change(self, name: str, view: View, make: Callable[[], Any]) -> bool:
+    async def change(self, view: View, make: Callable[[], Any]) -> bool:
         """Write what `make` gives over the version seen; whether the register is then known to hold it."""
         async with view.changing:
             expect = view.lease.version
             value = make()
             try:
-                done, told = await self.registers.change(name, expect, value)
+                done, told = await self.registers.change(view.name, expect, value)
             except EndUnknown:
                 try:
-                    told = await self.registers.read(name)
+                    told = await self.registers.read(view.name)
                 except NoKeeper:
                     return False
                 done = told.value == value
@@ -144,15 +145,14 @@
             return done
 
     async def renew(self, view: View, work: Any) -> bool:
-        name = next(name for name, one in self.views.items() if one is view)
-        return await self.change(name, view, lambda: view.lease.renewal(self.clock(), work))
+        return await self.change(view, lambda: view.lease.renewal(self.clock(), work))
 
     @asynccontextmanager
     async def hold(self, name: str) -> AsyncIterator[Held]:
         """Wait until this umpire owns the job and hold it as long as the body runs. Raises TermOver."""
         view = self.views[name]
-        await self.obtain(name, view)
-        held = Held(self, name, view)
+        await self.obtain(view)
+        held = Held(self, view)
         self.log("owns", job=name, token=held.token)
         try:
             async with anyio.create_task_group() as tasks:
@@ -164,11 +164,11 @@
             over, held.over = held.over, True
             self.log("owned", job=name, token=held.token, lost=over)
             if not over:
-                await self.give_up(name, view, held.token)
+                await self.give_up(view, held.token)
         if over:
             raise TermOver(name)
 
-    async def obtain(self, name: str, view: View) -> None:
+    async def obtain(self, view: View) -> None:
         lease = view.lease
         while True:
             changed = view.changed
@@ -184,7 +184,7 @@
                 continue
             if self.clock() < due:
                 continue  # the clock of the loop runs ahead of ours
-            if await self.change(name, view, lambda: lease.claim(self.clock())) and lease.holds(self.clock()):
+            if await self.change(view, lambda: lease.claim(self.clock())) and lease.holds(self.clock()):
                 return
             await self.pause()
 
@@ -208,10 +208,10 @@
         held.over = True
         held.scope.cancel()
 
-    async def give_up(self, name: str, view: View, token: int) -> None:
+    async def give_up(self, view: View, token: int) -> None:
         """So that the next owner need not wait out the term."""
         with anyio.move_on_after(RELEASE_WITHIN, shield=True):
             while view.lease.mine and view.lease.state.token == token:
-                if await self.change(name, view, view.lease.release):
+                if await self.change(view, view.lease.release):
                     return
                 await self.pause()
