Rig: services and boxes behind its links, stops that hold timers, clocks, full and torn disks

Stopped processes are held out of the scheduler's queue. An umpire's clocks are handed in; a disk is filled by the kernel's limit on file sizes.

Found by the new scripts on processes: a keeper whose log lies on the same full disk ended with exit code 1, as its last words could not be written (starting.py, echo); a log line on a full disk raised in whoever logged. Log lines are dropped and counted now. A launcher without memory learns the judge's token before it counts.

--- /dev/null
+++ b/gullmount/commands/clocked.py
@@ -0,0 +1,28 @@
+"""`python -m gullmount.commands.clocked FILE`: an umpire as `gullmount umpire FILE` runs it, by clocks that
+the rig sets through lines on standard input. The rig's processes start so; nothing else does."""
+
+from __future__ import annotations
+
+import sys
+import time
+from pathlib import Path
+from threading import Thread
+
+from gullmount.commands.serving import run_umpire
+from gullmount.ownership.jobs import awake_clock
+from gullmount.rig.clocks import Clocks
+
+
+def main() -> None:
+    clocks = Clocks(awake_clock, time.time)
+
+    def listen() -> None:
+        for line in sys.stdin:
+            clocks.obey(line.strip())
+
+    Thread(target=listen, daemon=True).start()
+    run_umpire(Path(sys.argv[1]), clock=clocks.awake.now, wall=clocks.wall.now)
+
+
+if __name__ == "__main__":
+    main()
--- a/gullmount/commands/serving.py
+++ b/gullmount/commands/serving.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import signal
+import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -12,6 +14,7 @@
 from gullmount.commands.files import Path_, loaded
 from gullmount.commands.starting import logger, started
 from gullmount.net import TcpNet
+from gullmount.ownership.jobs import awake_clock
 from gullmount.ownership.terms import OwnedUmpireTerms
 from gullmount.ownership.umpire import OwningUmpire
 from gullmount.umpire import FileMemory, RunningUmpire
@@ -36,15 +39,25 @@
 
     On the signal it takes nothing more, gives each taken req its final answer, and exits with 0.
     """
+    run_umpire(file)
+
+
+def run_umpire(
+    file: Path, clock: Callable[[], float] = awake_clock, wall: Callable[[], float] = time.time
+) -> None:
+    """The same, by clocks of the caller's: the one that leases go by, and the wall's."""
     terms = loaded(file, OwnedUmpireTerms)
-    started(file, serve, terms, logger(umpire=terms.number))
+    started(file, serve, terms, logger(umpire=terms.number), clock, wall)
 
 
-async def serve(terms: OwnedUmpireTerms, log: Any) -> None:
+async def serve(
+    terms: OwnedUmpireTerms, log: Any, clock: Callable[[], float], wall: Callable[[], float]
+) -> None:
     memory = FileMemory(Path(terms.remembered)) if terms.remembered else None
-    kind = OwningUmpire if terms.owns else RunningUmpire
+    given: dict[str, Any] = {"net": TcpNet(terms.connect_from), "memory": memory, "log": log, "wall": wall}
+    made = OwningUmpire(terms, clock=clock, **given) if terms.owns else RunningUmpire(terms, **given)
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async with kind(terms, net=TcpNet(terms.connect_from), memory=memory, log=log) as running:
+        async with made as running:
             async for _ in signals:
                 await running.stop()
                 return
--- a/gullmount/commands/starting.py
+++ b/gullmount/commands/starting.py
@@ -2,18 +2,41 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from pathlib import Path
-from typing import Any
+from typing import Any, TextIO, cast
 
 import anyio
-import click
 import structlog
 
 from gullmount.commands.files import BAD_INPUT
 from gullmount.keepers.store import StoreFault
 
 
+class Lines:
+    """Standard error for the log. A line that cannot be written, as on a full disk, is dropped and counted:
+    serving goes on."""
+
+    def __init__(self, descriptor: int) -> None:
+        self.descriptor = descriptor
+        self.lost = 0
+
+    def write(self, text: str) -> int:
+        told = f'{{"event":"log lines lost","count":{self.lost}}}\n' if self.lost else ""
+        data = (told + text).encode()
+        try:
+            while data:
+                data = data[os.write(self.descriptor, data) :]
+            self.lost = 0
+        except OSError:
+            self.lost += 1
+        return len(text)
+
+    def flush(self) -> None:
+        pass  # each write does
+
+
 def logger(**bound: Any) -> Any:
     """Lines of JSON on standard error."""
     structlog.configure(
@@ -22,7 +45,7 @@
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.JSONRenderer(),
         ],
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(cast(TextIO, Lines(sys.stderr.fileno()))),
     )
     return structlog.get_logger().bind(**bound).info
 
@@ -35,5 +58,6 @@
         first: BaseException = faults
         while isinstance(first, BaseExceptionGroup):
             first = first.exceptions[0]
-        click.echo(f"{file}: {first}", err=True)
+        # Where the disk is full the log's file may be too: the exit code has to tell it all the same.
+        Lines(sys.stderr.fileno()).write(f"{file}: {first}\n")
         sys.exit(BAD_INPUT)
--- a/gullmount/days/run.py
+++ b/gullmount/days/run.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import gc
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Any
 
@@ -17,7 +17,7 @@
 from gullmount.standins.clients import ClientKind, ClientsOf, KeyDraw, Mood, RouteKind
 from gullmount.standins.fleet import Fleet, Place
 from gullmount.standins.launcher import LauncherStandIn, LaunchTerms
-from gullmount.standins.links import Links, Party
+from gullmount.standins.links import PROCESS, Links, Party
 from gullmount.standins.record import Record
 from gullmount.standins.roster import RosterStandIn
 from gullmount.umpire import RunningUmpire, UmpireTerms
@@ -62,8 +62,14 @@
             self.scope = anyio.CancelScope()
             self.day.tasks.start_soon(self.live, self.scope)
 
+    @property
+    def process(self) -> str:
+        """This life's name, for what befalls its tasks alone."""
+        return f"umpire {self.number}, life {self.births}"
+
     async def live(self, scope: anyio.CancelScope) -> None:
         self.births += 1
+        PROCESS.set(self.process)
         day = self.day
         host = day.host_of(self.number)
         party = self.party = Party(day.links, host, f"umpire {self.number}", self.zone, day.tasks)
@@ -95,19 +101,29 @@
 
     async def roll(self, pause: float) -> None:
         """A stop in peace, and a new start."""
-        if self.scope is None or self.running is None:
+        if not self.there:
             return
         self.day.record.note("umpire_stopping", umpire=self.number)
-        await self.running.stop()
+        await self.stop()
         await self.kill()
         await anyio.sleep(pause)
         self.begin()
 
+    @property
+    def there(self) -> bool:
+        return self.scope is not None and self.running is not None
+
+    async def stop(self) -> None:
+        """In peace; returns when it is done with what it took."""
+        if self.running is not None:
+            await self.running.stop()
+
 
 class Deployment:
     """A day under way."""
 
     life: type[Life] = Life  # how an umpire lives
+    learn: Callable[[str], Awaitable[int | None]] | None = None  # the token of a job's owner
     lead = LEAD  # s in which umpires start before the first client comes
 
     def __init__(
@@ -226,6 +242,7 @@
             terms,
             seed,
             releases,
+            self.learn,
         )
 
     def make_clients(self, bits: Callable[[int], int]) -> list[ClientsOf]:
--- a/gullmount/keepers/node.py
+++ b/gullmount/keepers/node.py
@@ -90,7 +90,8 @@
         self.recall()
         async with anyio.create_task_group() as self.tasks:
             self.tasks.start_soon(self.join)
-            await self.net.serve(self.terms.members[self.terms.number], self.connected, started)
+            listen = self.terms.listen or self.terms.members[self.terms.number]
+            await self.net.serve(listen, self.connected, started)
 
     def recall(self) -> None:
         """The word of an earlier process. Raises StoreFault."""
@@ -101,9 +102,7 @@
         except (Damaged, NotUnderstood) as fault:
             self.log("disk damaged", why=str(fault))
             self.word = Word(self.terms.number, self.members)
-            set_aside = getattr(self.store, "set_aside", None)
-            if set_aside is not None:
-                set_aside()
+            self.store.set_aside()
             kept = None
         if kept is None and self.found:
             self.word.found()
--- a/gullmount/keepers/store.py
+++ b/gullmount/keepers/store.py
@@ -27,6 +27,9 @@
     async def save(self, rows: dict[str, Any]) -> None:
         """The same while other tasks go on."""
 
+    def set_aside(self) -> object:
+        """Move what is damaged out of the way; nothing is there then."""
+
     def close(self) -> None: ...
 
 
@@ -48,13 +51,23 @@
 
     def __init__(self) -> None:
         self.rows: dict[str, bytes] = {}
+        self.full = False  # nothing can be written
+        self.torn = False  # what is there is not what was written
 
     def load(self) -> dict[str, Any] | None:
+        if self.torn:
+            raise Damaged("torn")
         return {key: msgspec.json.decode(value) for key, value in self.rows.items()} or None
 
     def write(self, rows: dict[str, Any]) -> None:
+        if self.full:
+            raise StoreFault("disk full")
         self.rows |= {key: msgspec.json.encode(value) for key, value in rows.items()}
 
+    def set_aside(self) -> None:
+        """Begin anew where the old word is damaged."""
+        self.rows, self.torn = {}, False
+
     async def save(self, rows: dict[str, Any]) -> None:
         await anyio.lowlevel.checkpoint()
         self.write(rows)
--- a/gullmount/keepers/terms.py
+++ b/gullmount/keepers/terms.py
@@ -39,6 +39,7 @@
     group: Annotated[str, Field(min_length=1, max_length=100)]
     members: Members
     disk: str
+    listen: Address | None = None  # where it listens, if not where the others find it
     call_within: PositiveFloat = 0.5  # s for one call of another keeper
     settle_within: PositiveFloat = 2.0  # s for one change, after which its end is told as unknown
 
--- a/gullmount/standins/owners.py
+++ b/gullmount/standins/owners.py
@@ -16,7 +16,7 @@
 
 
 class OwnersStandIn:
-    """Lives as long as the day; `kill` ends what it knows, `run` begins anew.
+    """Lives as long as the day; `kill` ends what it knows, `take` begins anew.
 
     `learn` gives the token that a job has now: nobody is believed before it was learnt.
     """
@@ -32,7 +32,7 @@
         self.owners: dict[str, int] = {}  # by job: whose announcement was taken last
         self.scope: anyio.CancelScope | None = None
 
-    async def run(self) -> None:
+    async def take(self) -> None:
         if self.scope is None:
             with anyio.CancelScope() as self.scope:
                 await self.party.serve(self.address, self.connected)
--- a/gullmount/standins/roster.py
+++ b/gullmount/standins/roster.py
@@ -138,12 +138,12 @@
 
     async def watch(self, host: str, umpire: str, after: int) -> AsyncIterator[bytes]:
         at = after
-        await self.party.links.passable(self.party.zone, host)
+        await self.party.passable(host)
         if at <= 0 or at > self.index or (self.changes and self.changes[0][0] > at + 1):
             at = self.index
             yield self.told(umpire, list(self.shown.values()), "full")
         while True:
-            await self.party.links.passable(self.party.zone, host)
+            await self.party.passable(host)
             fresh = [entry for index, entry in self.changes if index > at]
             if fresh:
                 if len(fresh) < self.index - at:  # some are no longer kept
--- /dev/null
+++ b/tests/test_rig.py
@@ -0,0 +1,167 @@
+"""The rig itself: processes that stand still, clocks that are set, disks that are full, links to services."""
+
+from __future__ import annotations
+
+import json
+import os
+import resource
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+
+from gullmount.checker.owners import check_owners
+from gullmount.days.run import in_virtual_time
+from gullmount.rig import run as rig
+from gullmount.rig import stopped
+from gullmount.rig.clocks import Clocks
+from gullmount.rig.terms import RigTerms
+from gullmount.standins.links import PROCESS
+from gullmount.yamlfile import BadFile, parse, read
+
+SCRIPTS = Path(__file__).parent.parent / "days" / "failures"
+
+
+def script(faults: list[dict[str, Any]], **more: Any) -> RigTerms:
+    told = read(SCRIPTS / "short.yaml", RigTerms).model_dump() | {"faults": faults} | more
+    return RigTerms.model_validate(told)
+
+
+def played(terms: RigTerms, folder: Path) -> list[dict[str, Any]]:
+    _, lines = rig.run(terms, 1, True, "", folder)
+    return [json.loads(line) for line in lines.splitlines()]
+
+
+def test_a_stopped_process_does_nothing_until_it_goes_on_and_another_does_not_wait() -> None:
+    steps: list[tuple[str, float]] = []
+
+    async def live(name: str) -> None:
+        PROCESS.set(name)
+        while True:
+            await anyio.sleep(1)
+            steps.append((name, anyio.current_time()))
+
+    async def scene() -> None:
+        begun = anyio.current_time()
+        async with anyio.create_task_group() as tasks:
+            for name in ("one", "other"):
+                tasks.start_soon(live, name)
+            await anyio.sleep(2.5)
+            stopped.stop("one")
+            await anyio.sleep(10)
+            stopped.go_on("one")
+            await anyio.sleep(1.1)
+            stopped.stop("one")
+            stopped.forget("one")
+            tasks.cancel_scope.cancel()
+        steps[:] = [(name, round(at - begun, 6)) for name, at in steps]
+
+    in_virtual_time(scene, 1)
+    assert [at for name, at in steps if name == "one"] == [1, 2, 12.5, 13.5]
+    assert [at for name, at in steps if name == "other"] == [float(one) for one in range(1, 14)]
+
+
+def test_clocks_are_stepped_and_run_as_told() -> None:
+    now = [100.0]
+    clocks = Clocks(lambda: now[0], lambda: now[0])
+    clocks.obey("wall 300")
+    clocks.obey("speed 1.01")
+    now[0] = 200.0
+    assert (clocks.wall.now(), clocks.awake.now()) == (500.0, 201.0)
+    clocks.obey("wall -300")
+    clocks.obey("speed 1")
+    now[0] = 300.0
+    assert (clocks.wall.now(), clocks.awake.now()) == (300.0, 301.0)
+
+
+def test_a_log_on_a_full_disk_stops_nothing_and_tells_what_was_lost(tmp_path: Path) -> None:
+    """Guards against a log line that cannot be written ending an umpire, and a keeper's exit code with it."""
+    program = """
+import resource
+from gullmount.commands.starting import logger
+log = logger(umpire=1)
+log("one")
+resource.setrlimit(resource.RLIMIT_FSIZE, (10, resource.RLIM_INFINITY))
+log("two"); log("three")
+resource.setrlimit(resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+log("four")
+"""
+    with (tmp_path / "log").open("ab") as file:
+        done = subprocess.run([sys.executable, "-c", program], stderr=file, check=False, timeout=30)
+    lines = [json.loads(line) for line in (tmp_path / "log").read_text().splitlines()]
+    assert done.returncode == 0
+    assert [line["event"] for line in lines] == ["one", "log lines lost", "four"] and lines[1]["count"] == 2
+
+
+def test_a_keeper_whose_disk_and_log_are_full_ends_with_its_own_code(tmp_path: Path) -> None:
+    host = f"127.{225 + os.getpid() % 25}.5"
+    members = {number: f"{host}.{number}:7299" for number in (1, 2, 3)}
+    told = {"number": 1, "group": "g", "members": members, "disk": str(tmp_path / "disk")}
+    (tmp_path / "keeper.yaml").write_text(json.dumps(told))
+    none = (0, resource.RLIM_INFINITY)
+    with (tmp_path / "log").open("ab") as file:
+        done = subprocess.run(
+            [sys.executable, "-m", "gullmount", "keeper", str(tmp_path / "keeper.yaml"), "--found"],
+            stderr=file,
+            check=False,
+            timeout=30,
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_FSIZE, none),
+        )
+    assert done.returncode == 2
+
+
+def test_an_umpire_cut_from_boxes_alone_answers_all_and_goes_on_judging(tmp_path: Path) -> None:
+    cut = {"at": 2, "do": "cut", "who": "umpires", "where": "boxes", "length": 3}
+    events = played(script([cut]), tmp_path)
+    begun, over = (next(e["t"] for e in events if e["ev"] == what) for what in ("fault", "fault_over"))
+    got = [event["t"] for event in events if event["ev"] == "box_got"]
+    assert any(t < begun for t in got) and any(t > over for t in got)
+    assert not [t for t in got if begun < t < over]
+    effects = [event for event in events if event["ev"] == "effect" and begun < event["t"] < over]
+    assert effects and len({event["token"] for event in effects}) == 1
+
+
+def test_a_launcher_that_has_just_started_believes_no_vote_before_it_knows_the_token(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a vote of an earlier judge that a launcher without memory takes for good."""
+    asked: list[str] = []
+
+    async def learn(self: rig.RigDeployment, job: str) -> int:
+        asked.append(job)
+        return 1000  # of a judge that nobody here is
+
+    monkeypatch.setattr(rig.RigDeployment, "learn", learn)
+    kill = {"at": 1, "do": "kill", "who": "launcher", "length": 0.5}
+    events = played(script([kill], length=14), tmp_path)
+    assert "judge" in asked
+    assert not [event for event in events if event["ev"] == "vote" and "token" in event]
+
+
+def test_a_keeper_ended_by_a_full_disk_is_no_crash_but_once() -> None:
+    full = {"ev": "disk_full", "who": "keeper 1"}
+    end = {"ev": "process_ended", "who": "keeper 1", "code": 2}
+    told = [{**event, "t": float(number)} for number, event in enumerate([full, end, end])]
+    crash = check_owners(told)[-1]
+    assert [breach.t for breach in crash.breaches] == [2.0]
+
+
+@pytest.mark.parametrize(
+    ("fault", "said"),
+    [
+        ("{at: 1, do: torn, who: umpire 1}", "torn: only a keeper's disk"),
+        ("{at: 1, do: wall, who: keeper 1, size: -60}", "only an umpire's clocks"),
+        ("{at: 1, do: stop, who: launcher}", "launcher is no process"),
+        ("{at: 1, do: kill, who: boxes}", "boxes is no process"),
+        ("{at: 1, do: lose, who: umpires, size: 1.5}", "more than a share of 1"),
+        ("{at: 1, do: cut, who: umpires, size: -1}", "less than 0"),
+    ],
+)
+def test_bad_faults_name_line_and_key(fault: str, said: str) -> None:
+    text = (SCRIPTS / "short.yaml").read_text() + f"  - {fault}\n"
+    with pytest.raises(BadFile) as raised:
+        parse(text, "short.yaml", RigTerms)
+    assert said in str(raised.value) and "short.yaml:" in str(raised.value) and "faults" in str(raised.value)
