--- a/gullmount/keepers/node.py
+++ b/gullmount/keepers/node.py
@@ -16,7 +16,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from gullmount.calls import VERSION, Asked, NotUnderstood, Refused, Said, call, check, decode, serve
+from gullmount.calls import VERSION, Asked, KeptCalls, NotUnderstood, Refused, Said, check, decode, serve
 from gullmount.keepers.round import Phase, Round, Settling
 from gullmount.keepers.store import Damaged, Store, StoreFault
 from gullmount.keepers.terms import KeeperTerms
@@ -64,6 +64,7 @@
     ) -> None:
         self.terms = terms
         self.net = net
+        self.calls = KeptCalls(net)
         self.store = store
         self.chance = chance
         self.log = log
@@ -91,7 +92,10 @@
         async with anyio.create_task_group() as self.tasks:
             self.tasks.start_soon(self.join)
             listen = self.terms.listen or self.terms.members[self.terms.number]
-            await self.net.serve(listen, self.connected, started)
+            try:
+                await self.net.serve(listen, self.connected, started)
+            finally:
+                await self.calls.aclose()
 
     def recall(self) -> None:
         """The word of an earlier process. Raises StoreFault."""
@@ -163,7 +167,7 @@
         try:
             with anyio.fail_after(self.terms.call_within):
                 address = self.terms.members[other]
-                status, body = await call(self.net, address, "POST", "/v1/keeper", msgspec.json.encode(told))
+                status, body = await self.calls.call(address, "POST", "/v1/keeper", msgspec.json.encode(told))
             if status == OK:
                 return decode(body)
         except (Refused, NotUnderstood, TimeoutError):
--- a/gullmount/rig/sweep.py
+++ b/gullmount/rig/sweep.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import tempfile
 from collections.abc import Iterator
@@ -18,6 +19,7 @@
 from gullmount.rig.run import run
 from gullmount.rig.terms import RigTerms
 
+SWEEPS = (50_000, 20, 100)  # objects and rounds between the collector's sweeps: a script makes millions
 AT_ONCE_APART = 2  # scripts on processes side by side: each has some ten of them
 
 
@@ -52,7 +54,7 @@
 def sweep(terms: RigTerms, seeds: range, virtual: bool) -> Iterator[Played]:
     """As they end."""
     workers = os.cpu_count() if virtual else AT_ONCE_APART
-    with ProcessPoolExecutor(workers) as pool:
+    with ProcessPoolExecutor(workers, initializer=gc.set_threshold, initargs=SWEEPS) as pool:
         works = [pool.submit(play_one, terms, seed, virtual) for seed in seeds]
         for work in as_completed(works):
             yield work.result()
