Keepers' group changes one at a time by a command; a learnt value no longer counts as chosen

The group is a register of its own; a joint group needs a majority of each set, older groups are refused, all registers are written once more before the new set stands alone; any keeper finishes what it finds. Who joins is new by a mark of its process, written into the group. Watches end at a keeper that has no majority, so that who watches asks another.

Seen in a trace: keeper 4 came back, learnt ballot (3,3,0) from keepers 1 and 3, and told it as accepted; a proposer counted 1, 3 and 4 as a majority that had accepted it (Round.prepared, the end of a reading without writing), while keeper 5 got a later ballot through. The exhaustive exploration has no second round and could not see it. A slot now says whether it was only learnt, which that count leaves out.

--- a/gullmount/cli.py
+++ b/gullmount/cli.py
@@ -13,6 +13,7 @@
     "blame": ("days", "blame"),
     "check": ("serving", "check_file"),
     "day": ("days", "day"),
+    "group": ("grouping", "group"),
     "keeper": ("keeping", "keeper"),
     "rig": ("rigs", "rig"),
     "umpire": ("serving", "umpire"),
--- a/gullmount/commands/keeping.py
+++ b/gullmount/commands/keeping.py
@@ -35,7 +35,7 @@
 
 async def keep(terms: KeeperTerms, log: Any, found: bool, vouched: bool) -> None:
     store = SqliteStore(Path(terms.disk))
-    host = terms.members[terms.number].rpartition(":")[0]
+    host = terms.listens_at.rpartition(":")[0]
     made = Keeper(
         terms, net=TcpNet(host), store=store, chance=Random(), log=log, found=found, vouched=vouched
     )
--- a/gullmount/keepers/client.py
+++ b/gullmount/keepers/client.py
@@ -12,11 +12,12 @@
 import msgspec
 
 from gullmount.calls import VERSION, NotUnderstood, Refused, Unreached, call, check, decode, watch_lines
+from gullmount.keepers.group import GROUP, Group, Members, group_of
 from gullmount.net import Streams
 
 AGAIN = 0.2  # s before a broken watch is opened again, up to twice that by chance; doubles
 AGAIN_MOST = 2.0  # s of that at most: an owner must be known within a term
-OK, UNKNOWN = 200, 504
+OK, CONFLICT, UNKNOWN = 200, 409, 504
 
 
 @dataclass(frozen=True)
@@ -27,6 +28,10 @@
     value: Any
 
 
+class NotChanged(Exception):
+    """The group of keepers was not changed; the text says why."""
+
+
 class NoKeeper(Exception):
     """No keeper gave a good answer; nothing was changed."""
 
@@ -60,11 +65,25 @@
         self.chance = chance
         self.answer_within = answer_within
         self.log = log
-        self.preferred: dict[str, int] = {}
-
-    def order(self, register: str) -> list[int]:
-        first = self.preferred.setdefault(register, crc32(register.encode()) % len(self.addresses))
-        return [(first + step) % len(self.addresses) for step in range(len(self.addresses))]
+        self.preferred: dict[str, str] = {}  # by register: the address that is asked first
+
+    def order(self, register: str) -> list[str]:
+        known = self.addresses
+        at = crc32(register.encode())
+        if self.preferred.get(register) in known:
+            at = known.index(self.preferred[register])
+        return [known[(at + step) % len(known)] for step in range(len(known))]
+
+    async def follow(self) -> None:
+        """Go by the group as the keepers tell it, from the addresses known now, for ever."""
+        async for told in self.watch(GROUP):
+            if told.version > 0:
+                try:
+                    group = group_of(told.version, told.value)
+                except NotUnderstood as fault:
+                    self.log("group not understood", why=str(fault))
+                    continue
+                self.addresses = [address for _, address in sorted(group.addresses.items())]
 
     async def read(self, register: str) -> Told:
         """Raises NoKeeper."""
@@ -80,7 +99,7 @@
         for one in self.order(register):
             try:
                 with anyio.fail_after(self.answer_within):
-                    status, answer = await call(self.net, self.addresses[one], "POST", "/v1/register", body)
+                    status, answer = await call(self.net, one, "POST", "/v1/register", body)
                 if status == OK:
                     told = check(decode(answer), {"version": int, "done": bool})
                     self.preferred[register] = one
@@ -98,7 +117,7 @@
         wait, at, tries = AGAIN, -1, 0
         while True:
             order = self.order(register)
-            address = self.addresses[order[tries % len(order)]]
+            address = order[tries % len(order)]
             try:
                 async for line in watch_lines(self.net, address, f"/v1/watch?register={register}"):
                     message = decode(line)
@@ -114,3 +133,57 @@
             tries += 1
             await anyio.sleep(wait * (1 + self.chance.random()))
             wait = min(AGAIN_MOST, wait * 2)
+
+
+class GroupCalls:
+    """The operator's view of the group of keepers. `addresses` are some of theirs; who answered last is asked
+    first."""
+
+    def __init__(self, net: Streams, addresses: list[str], answer_within: float) -> None:
+        self.net = net
+        self.addresses = list(addresses)
+        self.answer_within = answer_within
+
+    async def ask(self, message: dict[str, Any]) -> Group:
+        """Raises NoKeeper, NotChanged; EndUnknown where a change may have begun."""
+        body = msgspec.json.encode({"v": VERSION, **message})
+        for address in list(self.addresses):
+            try:
+                with anyio.fail_after(self.answer_within):
+                    status, answer = await call(self.net, address, "POST", "/v1/group", body)
+                if status == OK:
+                    told = check(decode(answer), {"group_now": dict})["group_now"]
+                    self.addresses.remove(address)
+                    self.addresses.insert(0, address)
+                    return group_of(told.get("revision"), told)
+                if status == CONFLICT:
+                    raise NotChanged(answer.decode("utf-8", "replace").strip())
+                if status == UNKNOWN:
+                    raise EndUnknown
+            except (Refused, NotUnderstood, TimeoutError) as fault:
+                if message and not isinstance(fault, Unreached):
+                    raise EndUnknown from None
+        raise NoKeeper
+
+    async def show(self) -> Group:
+        return await self.ask({})
+
+    async def change(self, make: Callable[[Members], Members]) -> Group:
+        """Begin a change: `make` gives the new members from those there are."""
+        group = await self.show()
+        members = sorted(make(group.now).items())
+        return await self.ask({"revision": group.revision, "members": members})
+
+    async def undo(self) -> Group:
+        return await self.ask({"revision": (await self.show()).revision, "undo": True})
+
+    async def settled(self) -> Group:
+        """Wait until no change is under way."""
+        while True:
+            try:
+                group = await self.show()
+                if not group.next:
+                    return group
+            except NoKeeper:
+                pass
+            await anyio.sleep(AGAIN)
--- a/gullmount/keepers/node.py
+++ b/gullmount/keepers/node.py
@@ -16,7 +16,19 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from gullmount.calls import VERSION, Asked, KeptCalls, NotUnderstood, Refused, Said, check, decode, serve
+from gullmount.calls import (
+    VERSION,
+    Asked,
+    KeptCalls,
+    NotUnderstood,
+    Refused,
+    Said,
+    check,
+    decode,
+    serve,
+    typed,
+)
+from gullmount.keepers.group import GROUP, Finishing, Group, Members, group_of, members_of
 from gullmount.keepers.round import Phase, Round, Settling
 from gullmount.keepers.store import Damaged, Store, StoreFault
 from gullmount.keepers.terms import KeeperTerms
@@ -29,6 +41,8 @@
 JOIN_AGAIN = 0.25  # s between askings of the others at a start, up to twice that by chance
 BEATEN_WAIT = 0.01  # s of a wait after a round that a higher one beat, doubled each time, drawn from 0
 BEATEN_WAIT_MOST = 0.2  # s of that
+TEND_AFTER = 3.0  # s before others than who began it finish a change of the group, up to twice that
+TEND_AGAIN = 0.5  # s before it is tried again, up to twice that
 ALIVE_EVERY = 5.0  # s between lines of a quiet watch
 REFRESH = 2.0  # s without news after which a watched register is read: news may be lost between keepers
 
@@ -43,6 +57,10 @@
     """The change may have been made or not."""
 
 
+class Unsound(Exception):
+    """A change of the group that cannot be made; nothing was changed."""
+
+
 def no_log(event: str, **fields: Any) -> None:
     pass
 
@@ -70,10 +88,9 @@
         self.log = log
         self.found = found
         self.vouched = vouched
-        self.members = tuple(sorted(terms.members))
-        self.others = [one for one in self.members if one != terms.number]
-        self.hosts = {one: address.rpartition(":")[0] for one, address in terms.members.items()}
-        self.word = Word(terms.number, self.members)
+        self.word = self.new_word()
+        self.regrouped = anyio.Event()  # the group is another now
+        self.began = -1  # the revision of the group whose change began here
         self.admitted = anyio.Event()
         self.writing = anyio.Lock()  # one message's word is on the disk before the next is looked at
         self.turns: dict[str, anyio.Lock] = defaultdict(anyio.Lock)
@@ -84,6 +101,13 @@
         self.failed = False  # the disk failed: nothing is said any more
         self.tasks: TaskGroup
 
+    def new_word(self) -> Word:
+        return Word(self.terms.number, Group(0, self.terms.members, {}))
+
+    @property
+    def others(self) -> list[int]:
+        return self.word.group.others(self.terms.number)
+
     # Its life
 
     async def run(self, started: anyio.Event | None = None) -> None:
@@ -91,9 +115,9 @@
         self.recall()
         async with anyio.create_task_group() as self.tasks:
             self.tasks.start_soon(self.join)
-            listen = self.terms.listen or self.terms.members[self.terms.number]
+            self.tasks.start_soon(self.tend)
             try:
-                await self.net.serve(listen, self.connected, started)
+                await self.net.serve(self.terms.listens_at, self.connected, started)
             finally:
                 await self.calls.aclose()
 
@@ -105,7 +129,7 @@
                 self.word.recall(kept)
         except (Damaged, NotUnderstood) as fault:
             self.log("disk damaged", why=str(fault))
-            self.word = Word(self.terms.number, self.members)
+            self.word = self.new_word()
             self.store.set_aside()
             kept = None
         if kept is None and self.found:
@@ -121,7 +145,14 @@
         joining = Joining(self.word)
         async with self.writing:
             await self.save()
+        self.word.mark = f"{self.chance.getrandbits(62):x}"
         while not self.admitted.is_set():
+            while self.terms.number not in self.word.group.addresses:
+                await self.regrouped.wait()  # until the others have it in their group
+            if self.word.whole and self.word.group.joins(self.terms.number, self.word.mark):
+                self.log("admitted", life=self.word.life, new=True)
+                self.admitted.set()
+                return
             async with anyio.create_task_group() as tasks:
                 for one in self.others:
                     tasks.start_soon(self.join_at, joining, one)
@@ -135,12 +166,14 @@
         if answer is None or self.admitted.is_set():
             return
         async with self.writing:
+            before = self.word.group
             try:
                 admitted = joining.heard(other, answer)
             except NotUnderstood as fault:
                 self.log("answer not understood", keeper=other, why=str(fault))
                 return
             await self.save()
+        self.look_at_group(before)
         if admitted:
             self.log("admitted", life=self.word.life)
             self.admitted.set()
@@ -163,10 +196,14 @@
 
     async def ask(self, other: int, message: dict[str, Any]) -> dict[str, Any] | None:
         """One call of another keeper; None for no good answer."""
+        group = self.word.group
+        address = group.addresses.get(other)
+        return None if address is None else await self.ask_at(address, {"group_now": group.told(), **message})
+
+    async def ask_at(self, address: str, message: dict[str, Any]) -> dict[str, Any] | None:
         told = {"v": VERSION, "from": self.terms.number, "group": self.terms.group, **message}
         try:
             with anyio.fail_after(self.terms.call_within):
-                address = self.terms.members[other]
                 status, body = await self.calls.call(address, "POST", "/v1/keeper", msgspec.json.encode(told))
             if status == OK:
                 return decode(body)
@@ -179,21 +216,29 @@
         keeper, do = told["from"], told["do"]
         if told["group"] != self.terms.group or keeper not in self.others:
             raise NotUnderstood("not of this group")
-        if source_host(stream) not in ("", self.hosts[keeper]):
+        if source_host(stream) not in ("", self.word.group.addresses[keeper].rpartition(":")[0]):
             raise NotUnderstood("not from that keeper's address")
         if do == "chosen":
             slot = check(told, {"register": str, "version": int})
-            self.show(slot["register"], slot["version"], told.get("value"))
+            await self.news(slot["register"], slot["version"], told.get("value"))
             return reply({})
-        if do != "join" and not self.admitted.is_set():
+        if do not in ("join", "adopt") and not self.admitted.is_set():
             return Said(UNAVAILABLE, b"not admitted yet\n")
         return reply(await self.speak(keeper, do, told))
 
     async def speak(self, keeper: int, do: str, told: dict[str, Any]) -> dict[str, Any]:
         """Give this keeper's word on a message, from the disk."""
         async with self.writing:
-            if do == "join":
+            before = self.word.group
+            refused = self.word.meet(told) if do != "join" else None
+            if refused is not None:
+                said = refused
+            elif do == "join":
                 said = self.word.joined(keeper, check(told, {"life": int})["life"])
+            elif do == "adopt":
+                known = {"admitted": self.admitted.is_set(), "registers": sorted(self.word.slots)}
+                known["mark"] = self.word.mark
+                said = {**self.word.stamp(), "ok": True, "revision": self.word.group.revision, **known}
             elif do in (Phase.PREPARE.value, Phase.ACCEPT.value):
                 register, ballot = check(told, {"register": str})["register"], ballot_of(told.get("ballot"))
                 self.counters[register] = max(self.counters[register], ballot[0])
@@ -205,26 +250,126 @@
             else:
                 raise NotUnderstood("nothing that a keeper does")
             await self.save()
+        self.look_at_group(before)
         return said
 
+    # Its group
+
+    def look_at_group(self, before: Group) -> None:
+        """After the word may have taken up another."""
+        group = self.word.group
+        if group.revision > before.revision:
+            member = self.terms.number in group.addresses
+            self.log("group", revision=group.revision, now=group.now, next=group.next, member=member)
+            self.regrouped.set()
+            self.regrouped = anyio.Event()
+
+    async def adopt(self, group: Group) -> None:
+        async with self.writing:
+            before = self.word.group
+            if self.word.adopt(group):
+                await self.save()
+        self.look_at_group(before)
+
+    async def tend(self) -> None:
+        """Finish a change of the group that is under way, whoever began it: it may have died since."""
+        await self.admitted.wait()
+        while True:
+            group, regrouped = self.word.group, self.regrouped
+            if not group.next:
+                await regrouped.wait()
+                continue
+            if self.began != group.revision:
+                with anyio.move_on_after(TEND_AFTER * (1 + self.chance.random())):
+                    await regrouped.wait()
+                    continue
+            if not await self.finish(group):
+                await anyio.sleep(TEND_AGAIN * (1 + self.chance.random()))
+
+    async def finish(self, group: Group) -> bool:
+        """Whether the change is over."""
+        finishing = Finishing(group)
+        async with anyio.create_task_group() as tasks:
+
+            async def tell(keeper: int) -> None:
+                message = {"do": "adopt", "group_now": group.told()}
+                mine = keeper == self.terms.number
+                answer = await (self.speak(keeper, "adopt", message) if mine else self.ask(keeper, message))
+                if answer is not None and answer.get("ok") is True:
+                    try:
+                        told = check(answer, {"revision": int, "admitted": bool})
+                        registers = typed(answer.get("registers"), list[str])
+                    except NotUnderstood as fault:
+                        self.log("answer not understood", keeper=keeper, why=str(fault))
+                    else:
+                        finishing.heard(keeper, told["revision"], told["admitted"], registers)
+
+            for keeper in sorted(group.addresses):
+                tasks.start_soon(tell, keeper)
+        to_write = finishing.to_write()
+        if to_write is None:
+            return False
+        try:
+            for register in to_write:
+                await self.settle(register, None, None, again=True)
+            done, _ = await self.settle(GROUP, group.revision, group.finished())
+        except (NoMajority, EndUnknown):
+            return False
+        return done
+
+    async def mark_of(self, number: int | None, members: Members) -> str:
+        """That of the keeper which is to join, as it tells it now. Raises ValueError."""
+        if number is None:
+            return ""
+        message = {"do": "adopt", "group_now": self.word.group.told()}
+        answer = await self.ask_at(members[number], message)
+        if answer is None or not isinstance(answer.get("mark"), str) or not answer["mark"]:
+            raise ValueError(f"keeper {number} does not answer at {members[number]}, or is not new")
+        return str(answer["mark"])
+
+    async def answer_group(self, asked: Asked) -> Said:
+        """The operator's call: what the group is, a change of it, or its undoing."""
+        told = decode(asked.body)
+        await self.settle(GROUP, None, None)  # it may have changed while this keeper was cut off
+        group = self.word.group
+        if "members" in told or told.get("undo"):
+            if check(told, {"revision": int})["revision"] != group.revision:
+                raise Unsound(f"the group's revision is {group.revision}")
+            try:
+                if told.get("undo"):
+                    value = group.undone()
+                else:
+                    members = members_of(told.get("members"))
+                    value = group.change(members, await self.mark_of(group.comes(members), members))
+            except ValueError as fault:
+                raise Unsound(str(fault)) from None
+            self.began = group.revision + 1
+            done, slot = await self.settle(GROUP, group.revision, value)
+            if not done:
+                raise Unsound(f"another change came first, revision {slot.version}")
+        return reply({"group_now": self.word.group.told()})
+
     # Rounds
 
-    async def settle(self, register: str, expect: int | None, value: Any) -> tuple[bool, Slot]:
+    async def settle(
+        self, register: str, expect: int | None, value: Any, again: bool = False
+    ) -> tuple[bool, Slot]:
         """Change the register if its version is `expect`, or read it; whether changed, and what is chosen.
+        With `again` what is chosen is written once more.
 
         Raises NoMajority where nothing was changed, EndUnknown where that cannot be told.
         """
         turn = self.turns[register]
         if turn.statistics().tasks_waiting >= WAITING_MOST:
             raise NoMajority("too many wait")
-        settling = Settling(register, expect, value, f"{self.chance.getrandbits(62):x}")
+        settling = Settling(register, expect, value, f"{self.chance.getrandbits(62):x}", again)
         wait = BEATEN_WAIT
         with anyio.move_on_after(self.terms.settle_within):
             async with turn:
                 while True:
                     end = settling.ended(await self.play(settling))
                     if end is not None:
-                        self.chosen(register, end.slot)
+                        await self.chosen(register, end.slot)
                         if end.unknown:
                             raise EndUnknown("changed since")
                         return end.done, end.slot
@@ -241,11 +386,13 @@
         counter = max(self.counters[register], slot.promised[0]) + 1
         self.counters[register] = counter
         ballot = (counter, self.terms.number, self.word.life)
-        one = settling.begin(ballot, self.members, self.word.lives)
+        one = settling.begin(ballot, self.word.group, self.word.lives)
         for phase in (Phase.PREPARE, Phase.ACCEPT):
             if one.phase is phase:
                 await self.play_phase(one, phase)
         self.counters[register] = max(self.counters[register], one.highest[0])
+        if one.newer is not None:
+            await self.adopt(one.newer)
         return one
 
     async def play_phase(self, one: Round, phase: Phase) -> None:
@@ -267,16 +414,22 @@
                 except NotUnderstood as fault:
                     self.log("answer not understood", keeper=keeper, why=str(fault))
 
-            for keeper in self.others:
+            for keeper in one.group.others(me):
                 tasks.start_soon(hear, keeper)
 
-    def chosen(self, register: str, slot: Slot) -> None:
+    async def chosen(self, register: str, slot: Slot) -> None:
         value = value_of(slot)
-        if self.show(register, slot.version, value):
+        if await self.news(register, slot.version, value):
             told = {"do": "chosen", "register": register, "version": slot.version, "value": value}
             for keeper in self.others:
                 self.tasks.start_soon(self.ask, keeper, told)
 
+    async def news(self, register: str, version: int, value: Any) -> bool:
+        """Of what is chosen; whether it was new. Raises NotUnderstood."""
+        if register == GROUP and version > 0:
+            await self.adopt(group_of(version, value))
+        return self.show(register, version, value)
+
     # Clients
 
     def show(self, register: str, version: int, value: Any) -> bool:
@@ -303,12 +456,16 @@
                 return Said(UNAVAILABLE, b"not admitted yet\n")
             if target.path == "/v1/register":
                 return await self.answer_client(asked)
+            if target.path == "/v1/group":
+                return await self.answer_group(asked)
             if target.path == "/v1/watch":
                 register = parse_qs(target.query).get("register", [""])[0]
                 return Said(OK, lines=self.watch(register))
         except NotUnderstood as fault:
             self.log("message not understood", source=source_host(stream), why=str(fault))
             return Said(400, b"not understood\n")
+        except Unsound as fault:
+            return Said(CONFLICT, f"{fault}\n".encode())
         except NoMajority as fault:
             return Said(UNAVAILABLE, f"{fault}\n".encode())
         except EndUnknown as fault:
@@ -320,6 +477,8 @@
         expect = told.get("expect")
         if expect is not None and (type(expect) is not int or expect < 0):
             raise NotUnderstood("field expect is wrong")
+        if told["register"] == GROUP and expect is not None:
+            raise NotUnderstood("the group is changed by a call of its own")
         value = told.get("value")
         if len(msgspec.json.encode(value)) > VALUE_MOST:
             raise NotUnderstood("value is too long")
@@ -339,7 +498,7 @@
                 try:
                     await self.settle(register, None, None)
                 except (NoMajority, EndUnknown):
-                    continue
+                    return  # another keeper may know more: who watches is to ask there
                 self.shown.setdefault(register, (0, None))
             version, value = self.shown.get(register, (-1, None))
             if version > at:
--- a/gullmount/keepers/round.py
+++ b/gullmount/keepers/round.py
@@ -2,7 +2,7 @@
 
 No I/O, clock or chance: `asks` says what to ask all keepers, `heard` takes an answer. A round ends chosen,
 beaten by a higher ballot, or is given up by whoever runs it. Two phases as in CASPaxos; where a majority
-tells the same accepted ballot, that value is chosen already and a reading, or a change that expects another
+accepted the same ballot, that value is chosen already and a reading, or a change that expects another
 version, ends there.
 """
 
@@ -13,7 +13,8 @@
 from typing import Any
 
 from gullmount.calls import check
-from gullmount.keepers.word import NO_BALLOT, Ballot, Slot, ballot_of, lives_of, majority, slot_of
+from gullmount.keepers.group import Group, group_in
+from gullmount.keepers.word import NO_BALLOT, Ballot, Slot, ballot_of, lives_of, slot_of
 
 
 @dataclass(frozen=True)
@@ -23,6 +24,7 @@
     register: str
     expect: int | None = None
     value: Any = None
+    again: bool = False  # whether what is chosen is written once more, unchanged
 
 
 class Phase(Enum):
@@ -35,12 +37,11 @@
 class Round:
     """Lives until it is chosen, beaten or given up. `lives`: the word's own."""
 
-    def __init__(
-        self, change: Change, ballot: Ballot, members: tuple[int, ...], lives: dict[int, int]
-    ) -> None:
+    def __init__(self, change: Change, ballot: Ballot, group: Group, lives: dict[int, int]) -> None:
         self.change = change
         self.ballot = ballot
-        self.needed = majority(len(members))
+        self.group = group  # by whose majorities it goes
+        self.newer: Group | None = None  # that it was refused for
         self.known = lives  # the word's own, which others may begin while the round is out
         self.lives: dict[int, int] = {}  # as answers tell
         self.phase = Phase.PREPARE
@@ -54,6 +55,7 @@
     def asks(self) -> dict[str, Any]:
         """The message of the phase, for each keeper."""
         message: dict[str, Any] = {"do": self.phase.value, "ballot": self.ballot}
+        message["group_now"] = self.group.told() if self.group.revision else None
         message["register"] = self.change.register
         if self.phase is Phase.ACCEPT:
             message |= {"version": self.result.version, "value": self.result.value}
@@ -75,6 +77,10 @@
         if phase is not self.phase:
             return False
         if not told["ok"]:
+            group = group_in(answer)
+            if group is not None and group.revision > self.group.revision:
+                self.newer, self.phase = group, Phase.BEATEN
+                return True
             self.highest = max(self.highest, ballot_of(answer.get("promised")))
             if self.highest > self.ballot:
                 self.phase = Phase.BEATEN
@@ -83,14 +89,14 @@
             self.promises[keeper] = told["life"], slot_of(answer)[1]
             return self.prepared()
         self.accepts[keeper] = told["life"]
-        if len(self.counted(self.accepts)) < self.needed:
+        if not self.group.has_majority(self.counted(self.accepts)):
             return False
         self.phase = Phase.CHOSEN
         return True
 
     def prepared(self) -> bool:
         counted = self.counted({one: life for one, (life, _) in self.promises.items()})
-        if len(counted) < self.needed:
+        if not self.group.has_majority(counted):
             return False
         slots = [self.promises[one][1] for one in counted]
         self.current = max(slots, key=lambda slot: slot.accepted)
@@ -100,8 +106,13 @@
             self.result = Slot(self.ballot, self.ballot, self.current.version + 1, change.value)
         else:
             self.result = self.current
-        same = sum(slot.accepted == self.current.accepted for slot in slots)
-        self.phase = Phase.CHOSEN if not self.done and same >= self.needed else Phase.ACCEPT
+        # Only who accepted it itself shows that it was chosen. A keeper that starts learns others' values
+        # too: counted, it made a value chosen that too few had accepted (rig/orders.py, seed 1143).
+        told = {one: self.promises[one][1] for one in counted}
+        own = [one for one in counted if not told[one].learnt]
+        same = [one for one in own if told[one].accepted == self.current.accepted]
+        stands = not self.done and not change.again and self.group.has_majority(same)
+        self.phase = Phase.CHOSEN if stands else Phase.ACCEPT
         return True
 
 
@@ -117,8 +128,10 @@
 class Settling:
     """One change over as many rounds as it takes; `mark` tells its value from the same one of another."""
 
-    def __init__(self, register: str, expect: int | None, value: Any, mark: str) -> None:
-        self.change = Change(register, expect, {"mark": mark, "value": value})
+    def __init__(
+        self, register: str, expect: int | None, value: Any, mark: str, again: bool = False
+    ) -> None:
+        self.change = Change(register, expect, {"mark": mark, "value": value}, again)
         self.mark = mark
         self.rounds: list[Round] = []  # the last is the one under way
 
@@ -127,10 +140,10 @@
         """Whether a keeper may have accepted it, also in the round that is broken off just now."""
         return any(one.done for one in self.rounds)
 
-    def begin(self, ballot: Ballot, members: tuple[int, ...], lives: dict[int, int]) -> Round:
+    def begin(self, ballot: Ballot, group: Group, lives: dict[int, int]) -> Round:
         # Those that never came to writing it say nothing any more.
         self.rounds = [one for one in self.rounds if one.done][:1]
-        self.rounds.append(Round(self.change, ballot, members, lives))
+        self.rounds.append(Round(self.change, ballot, group, lives))
         return self.rounds[-1]
 
     def ended(self, one: Round) -> End | None:
--- a/gullmount/keepers/word.py
+++ b/gullmount/keepers/word.py
@@ -7,13 +7,13 @@
 an answer leave.
 
 Disks are lost, torn or put back from an earlier copy, and a keeper cannot see that by itself. So each start
-is a new *life*, numbered upward, and takes no part until enough others (`needed`) have written the life
-down and told their whole word, which is merged in: the higher promise, the later accepted value. Those
-others meet every majority that ever counted this keeper, so that nothing it promised or accepted is missing
-afterwards. Answers carry the lives that their sender knows; a proposer does not count an answer from a life
-that has been followed by another. What others told before the new life was written down is in the merged
-word, what they tell later takes the old life's answers out of the count. A disk that lost its word while
-another's is also without it is one more loss than three keepers bear.
+is a new *life*, numbered upward, and takes no part until enough others have written the life down and told
+their whole word, which is merged in: the higher promise, the later accepted value. Those others
+(`Group.told_enough`) meet every majority that ever counted this keeper, so that nothing it promised or
+accepted is missing afterwards. Answers carry the lives that their sender knows; a proposer does not count an
+answer from a life that has been followed by another. What others told before the new life was written down
+is in the merged word, what they tell later takes the old life's answers out of the count. A disk that lost
+its word while another's is also without it is one more loss than three keepers bear.
 """
 
 from __future__ import annotations
@@ -22,6 +22,7 @@
 from typing import Any
 
 from gullmount.calls import Fields, NotUnderstood, check
+from gullmount.keepers.group import Group, group_in, group_of
 
 Ballot = tuple[int, int, int]  # counter, keeper, its life: no two rounds share one
 
@@ -41,6 +42,7 @@
     accepted: Ballot = NO_BALLOT
     version: int = 0
     value: Any = None
+    learnt: bool = False  # taken from another's word: this keeper itself never accepted it
 
     def told(self, register: str) -> dict[str, Any]:
         return {
@@ -49,18 +51,10 @@
             "accepted": self.accepted,
             "version": self.version,
             "value": self.value,
+            "learnt": self.learnt,
         }
 
 
-def majority(count: int) -> int:
-    return count // 2 + 1
-
-
-def needed(count: int) -> int:
-    """How many others must tell their word to a keeper that starts: they meet every majority it was in."""
-    return count - majority(count) + 1
-
-
 def ballot_of(told: Any) -> Ballot:
     """Raises NotUnderstood."""
     sound = isinstance(told, list | tuple) and len(told) == len(NO_BALLOT)
@@ -76,15 +70,16 @@
     if not 0 < len(name) <= NAME_MOST or not 0 <= version <= COUNTER_MOST:
         raise NotUnderstood("register's name or version is out of range")
     promised, accepted = ballot_of(fields["promised"]), ballot_of(fields["accepted"])
-    return name, Slot(promised, accepted, version, fields.get("value"))
+    return name, Slot(promised, accepted, version, fields.get("value"), fields.get("learnt") is True)
 
 
 class Word:
     """Lives on disk, beyond the process."""
 
-    def __init__(self, number: int, members: tuple[int, ...]) -> None:
+    def __init__(self, number: int, group: Group) -> None:
         self.number = number
-        self.members = members
+        self.group = group  # the newest known
+        self.mark = ""  # of this process; never on the disk: see `keepers/group.py`
         self.life = 0
         self.asked = 0  # the newest life that others were asked for: none of them knows a later one
         self.whole = False  # whether the word is all there; a blank disk's is not
@@ -128,12 +123,38 @@
                 self.slots[register] = slot
             elif kind == "life":
                 self.lives[int(name)] = check({"life": value}, {"life": int})["life"]
+            elif kind == "group":
+                group = group_of(value.get("revision") if isinstance(value, dict) else None, value)
+                self.group = max(self.group, group, key=lambda one: one.revision)
 
     def found(self) -> None:
-        """The first word of a new keeper, among keepers that are all new."""
+        """The first word of a new keeper, which has promised nothing."""
         self.whole = True
         self.note_self()
 
+    # Its group
+
+    def adopt(self, group: Group) -> bool:
+        """Write down a newer one; whether it was."""
+        if group.revision <= self.group.revision:
+            return False
+        self.group = group
+        self.unsaved["group"] = group.told()
+        if group.joins(self.number, self.mark) and not self.whole:
+            self.life = self.asked
+            self.found()
+        return True
+
+    def meet(self, message: dict[str, Any]) -> dict[str, Any] | None:
+        """Take up the group that a message goes by; where it is older than ours, what is answered instead.
+        Raises NotUnderstood."""
+        group = group_in(message)
+        if group is not None:
+            self.adopt(group)
+        if self.group.revision > (0 if group is None else group.revision):
+            return {**self.stamp(), "ok": False, "promised": NO_BALLOT, "group_now": self.group.told()}
+        return None
+
     # As an acceptor
 
     def slot(self, register: str) -> Slot:
@@ -174,7 +195,8 @@
             return {**self.stamp(), "ok": False}
         self.note_life(keeper, life)
         slots = [slot.told(register) for register, slot in sorted(self.slots.items())]
-        return {**self.stamp(), "ok": True, "asked": self.asked, "whole": self.whole, "slots": slots}
+        said = {"ok": True, "asked": self.asked, "whole": self.whole, "slots": slots}
+        return {**self.stamp(), **said, "group_now": self.group.told()}
 
     def merge(self, slots: dict[str, Slot]) -> None:
         """Take in another's word: nothing that either had said is taken back."""
@@ -183,6 +205,7 @@
             mine.promised = max(mine.promised, told.promised)
             if told.accepted > mine.accepted:
                 mine.accepted, mine.version, mine.value = told.accepted, told.version, told.value
+                mine.learnt = True
             self.note_slot(register)
 
 
@@ -203,6 +226,9 @@
     def heard(self, keeper: int, answer: dict[str, Any]) -> bool:
         """Whether it is admitted now; then its word is whole and to be saved before anything else."""
         stamp = check(answer, {"ok": bool, "life": int, "lives": list})
+        group = group_in(answer)
+        if group is not None:
+            self.word.adopt(group)
         lives = lives_of(stamp)
         for one, life in lives.items():
             if one != self.word.number:
@@ -217,7 +243,7 @@
             self.told[keeper] = told["asked"], dict(slot_of(one) for one in told["slots"])
         # A keeper of whom a later life is known than it ever asked for has lost its word, whatever it says.
         self.told = {one: told for one, told in self.told.items() if told[0] >= self.word.lives.get(one, 0)}
-        if len(self.told) < needed(len(self.word.members)):
+        if not self.word.group.told_enough(self.word.number, self.told):
             return False
         for _, (_, slots) in sorted(self.told.items()):
             self.word.merge(slots)
--- a/gullmount/ownership/umpire.py
+++ b/gullmount/ownership/umpire.py
@@ -75,6 +75,7 @@
             self.jobs.views[JUDGE].on_seen.append(self.appoint)
             self.tasks.start_soon(self.judge)
         self.tasks.start_soon(self.jobs.run)
+        self.tasks.start_soon(self.registers.follow)
         return self
 
     async def __aexit__(
--- a/gullmount/rig/explore.py
+++ b/gullmount/rig/explore.py
@@ -14,10 +14,12 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from gullmount.keepers.group import Group
 from gullmount.keepers.round import End, Phase, Round, Settling
 from gullmount.keepers.word import Joining, Word, ballot_of
 
 MEMBERS = (1, 2, 3)
+ALL = Group(0, {number: str(number) for number in MEMBERS}, {})
 CLAIMANTS = (1, 3)  # each at the keeper of that number
 CRASHES = 2  # the keeper that dies: it is in both majorities
 REGISTER = "job"
@@ -73,7 +75,7 @@
         kind = ForgetfulWord if plant == PLANTS[1] else Word
         self.words: dict[int, Word] = {}
         for number in MEMBERS:
-            word = self.words[number] = kind(number, MEMBERS)
+            word = self.words[number] = kind(number, ALL)
             word.found()
             word.life = word.asked = 1
             for one in MEMBERS:
@@ -191,7 +193,7 @@
 
     def begin(self, one: int) -> None:
         ballot = (1, one, self.words[one].life)
-        self.rounds[one] = self.settling[one].begin(ballot, MEMBERS, self.words[one].lives)
+        self.rounds[one] = self.settling[one].begin(ballot, ALL, self.words[one].lives)
         self.ask(one)
 
     def ask(self, one: int) -> None:
@@ -242,7 +244,7 @@
         self.crashed = how
         last = self.disks[CRASHES]
         disk = {"intact": last, "vouched": last, "older": self.before}.get(how, {})
-        word = self.words[CRASHES] = type(self.words[CRASHES])(CRASHES, MEMBERS)
+        word = self.words[CRASHES] = type(self.words[CRASHES])(CRASHES, ALL)
         if disk:
             word.recall(thawed(frozen(disk)))
         self.disks[CRASHES] = dict(disk)
--- a/gullmount/rig/faults.py
+++ b/gullmount/rig/faults.py
@@ -6,6 +6,8 @@
 
 import anyio
 
+from gullmount.keepers.client import EndUnknown, NoKeeper, NotChanged
+from gullmount.keepers.group import Members
 from gullmount.rig.lives import KeeperLife
 from gullmount.rig.terms import LINKS, WHO, Fault, names_in
 from gullmount.standins.links import Line
@@ -15,6 +17,7 @@
 
 RECEIVER = "receiver 0"  # whom owners announce themselves to
 SERVICES = ("roster", "launcher")  # of the day, which umpires connect to
+ASK_AGAIN = 0.3  # s between an operator's looks at the group
 TURNED = {"both": "both", "out": "in", "in": "out"}
 
 
@@ -117,11 +120,14 @@
             await anyio.sleep(fault.length)
             life.fill_disk(False)
             rig.record.note("disk_freed", who=name)
-            if isinstance(life, KeeperLife):
+            if isinstance(life, KeeperLife) and life.wanted:
                 await life.kill()
                 life.begin()
         elif isinstance(life, KeeperLife):
-            await self.end_keeper(life, fault, number)
+            if fault.do in ("join", "leave"):
+                await self.regroup(life, fault)
+            elif life.wanted:
+                await self.end_keeper(life, fault, number)
         elif fault.do == "term":
             await life.roll(fault.length)
         else:
@@ -141,3 +147,33 @@
             life.tear(fault.size)
         await anyio.sleep(fault.length)
         life.begin()
+
+    async def regroup(self, life: KeeperLife, fault: Fault) -> None:
+        """As an operator does: start who joins, ask until somebody takes the change or it stands, end who
+        left."""
+        rig, me = self.rig, life.number
+        leaves = me if fault.do == "leave" else int(fault.where.partition(" ")[2] or 0)
+        if fault.do == "join":
+            life.begin()
+        calls = rig.group_calls()
+
+        def wanted(members: Members) -> Members:
+            made = {one: address for one, address in members.items() if one != leaves}
+            return made if fault.do == "leave" else made | {me: rig.keeper_address(me)}
+
+        said = ""
+        while said != "stands":
+            await anyio.sleep(ASK_AGAIN)
+            try:
+                group = await calls.show()
+                said = "stands" if not group.next and wanted(group.now) == group.now else "under way"
+                if not group.next and said != "stands":
+                    await calls.change(wanted)
+            except NotChanged as why:
+                said = str(why)
+            except (NoKeeper, EndUnknown) as why:
+                said = type(why).__name__
+            rig.record.note("group", who=f"keeper {me}", do=fault.do, said=said)
+        if leaves:
+            rig.keepers[leaves].wanted = False
+            await rig.keepers[leaves].kill()
--- a/gullmount/rig/lives.py
+++ b/gullmount/rig/lives.py
@@ -171,6 +171,7 @@
         self.running_as: Process | None = None
         self.scope: anyio.CancelScope | None = None
         self.births = 0
+        self.wanted = False  # whether it is to be there, but for a fault
         self.copies: dict[int, Any] = {}  # of its disk, by the fault they are for
 
     @property
@@ -179,12 +180,13 @@
 
     def terms(self) -> KeeperTerms:
         day, me = self.day, self.number
-        members = {one: day.keeper_address(one) for one in {*day.founders, me}}
+        members = {one: day.keeper_address(one) for one in day.founders}
         told = {"number": me, "group": day.terms.name, "members": members, "disk": str(self.folder / "disk")}
         told["listen"] = f"{day.host_named(f'keeper {me}')}:{KEEPER_ITSELF}"
         return KeeperTerms.model_validate(told)
 
     def begin(self, found: bool = False) -> None:
+        self.wanted = True
         if self.scope is None and not self.day.over:
             self.scope = anyio.CancelScope()
             self.day.tasks.start_soon(self.live, self.scope, found)
--- a/gullmount/rig/probers.py
+++ b/gullmount/rig/probers.py
@@ -32,9 +32,14 @@
         self.count = 0
 
     async def run(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.calls.follow)
+            await self.probe()
+
+    async def probe(self) -> None:
         while True:
             await anyio.sleep(self.every * (0.5 + self.random.random()))
-            self.calls.preferred[REGISTER] = self.random.randrange(len(self.calls.addresses))
+            self.calls.preferred[REGISTER] = self.random.choice(self.calls.addresses)
             self.count += 1
             name = f"{self.number}.{self.count}"
             if self.random.random() < CHANGES:
--- a/gullmount/rig/run.py
+++ b/gullmount/rig/run.py
@@ -13,7 +13,7 @@
 from anyio.abc import TaskGroup
 
 from gullmount.days.run import BLOCK, Deployment, in_virtual_time
-from gullmount.keepers.client import KeeperCalls, NoKeeper
+from gullmount.keepers.client import GroupCalls, KeeperCalls, NoKeeper
 from gullmount.net import Datagrams, Stream, TcpNet
 from gullmount.ownership.lease import state_of
 from gullmount.ownership.terms import OwnedUmpireTerms
@@ -34,6 +34,7 @@
 WIRE_PEER = 8200  # and the number of the source: datagrams have a socket for each
 STARTS = 0.2  # s of a core that a process needs until it serves, by which the clients wait for it
 OVERRUN = 60.0  # s beyond its length after which a script on processes is broken off
+COMMAND_WITHIN = 2.5  # s for a call that changes the group: a keeper takes 2 for a change
 COMMAND = "command 0"  # who changes the group of keepers
 BOXES = "boxes"  # the links of one umpire to all of them fail together
 
@@ -81,7 +82,8 @@
         super().__init__(terms, seed, tasks, virtual, block, self.start_owning)
         self.links.outside = not virtual
         self.links.many = lambda host: BOXES if host.startswith(f"{block}.2.") else host
-        self.keepers = {number: KeeperLife(self, number) for number in self.founders}
+        last = terms.keepers.count + terms.keepers.spare
+        self.keepers = {number: KeeperLife(self, number) for number in range(1, last + 1)}
         self.owners = OwnersStandIn(
             self.seat(RECEIVER), f"{block}.3.3:{OWNERS_ITSELF}", self.record, self.learn
         )
@@ -90,7 +92,7 @@
         self.faults = list(terms.faults)
         if terms.drawn is not None:
             chance, umpires = Random(seed), terms.umpires.count
-            self.faults += draw(chance, terms.drawn, terms.length, umpires, terms.keepers.count)
+            self.faults += draw(chance, terms.drawn, terms.length, umpires, terms.keepers)
 
     async def learn(self, job: str) -> int | None:
         """The token that the register of a job holds, for a receiver that has just started; None where no
@@ -102,6 +104,10 @@
         except NoKeeper:
             return None
 
+    def group_calls(self) -> GroupCalls:
+        addresses = [self.keeper_address(one) for one in self.keepers]
+        return GroupCalls(Seat(self.seat(COMMAND)), addresses, COMMAND_WITHIN)
+
     def umpire(self, number: int) -> UmpireHere | UmpireProcess:
         life = self.lives[number]
         assert isinstance(life, UmpireHere | UmpireProcess)
@@ -213,8 +219,8 @@
     async def play(self) -> None:
         await self.lay_wires()
         self.tasks.start_soon(self.owners.take)
-        for keeper in self.keepers.values():
-            keeper.begin(found=True)
+        for number in self.founders:
+            self.keepers[number].begin(found=True)
         for number in range(1, self.terms.probers + 1):
             name, bits = f"prober {number}", self.random.getrandbits(60)
             seat = Seat(self.seat(name))
--- a/gullmount/rig/terms.py
+++ b/gullmount/rig/terms.py
@@ -18,12 +18,15 @@
 
 Kind = Literal[
     "kill", "term", "stop", "blank", "older", "torn", "full", "wall", "speed",
-    "cut", "slow", "reset", "lose", "double", "reorder",
+    "cut", "slow", "reset", "lose", "double", "reorder", "join", "leave",
 ]  # fmt: skip
 
 
 class KeepersTerms(Described):
-    count: Literal[3, 5] = 3
+    """`count` of them from the start; `spare` more that a fault `join` starts."""
+
+    count: Literal[3, 4, 5] = 3
+    spare: Annotated[int, Field(ge=0, le=4)] = 0
 
 
 class OwnedTerms(Described):
@@ -50,6 +53,9 @@
     what was written. full: for `length` nothing can be written. wall: its wall clock is `size` seconds
     ahead for `length`. speed: the clock that it counts its terms by runs `size` times as fast.
 
+    join: a spare keeper starts and is to join the group, in place of keeper `where` if that is named, which
+    is ended then. leave: a keeper is to leave the group, and is ended then.
+
     cut, slow: its links to `where` (all it has, if empty; also `roster`, `launcher`, `boxes`) bear nothing,
     or `size` seconds more, for `length`; one way only if `way` says out (what it sends) or in. reset: the
     connections to `where` are torn. lose, double, reorder: so large a share of the messages between umpires.
@@ -73,6 +79,8 @@
                     " or boxes"
                 )
         who = names_in(self.who)
+        if self.do in ("join", "leave") and not re.fullmatch(r"keeper \d+", self.who):
+            raise ValueError(f"{self.do}: who: expected keeper N")
         if self.do in DISKS and not all(re.fullmatch(r"keeper \d+", one) for one in who):
             raise ValueError(f"{self.do}: only a keeper's disk can be told apart")
         clocked = re.compile(r"umpires?( \d+)?|owner")
@@ -122,7 +130,7 @@
                 known = (
                     number < self.umpires.count
                     if match[1] == "umpire"
-                    else 1 <= number <= self.keepers.count
+                    else 1 <= number <= self.keepers.count + self.keepers.spare
                 )
                 if not known:
                     raise ValueError(f"faults.{index}: there is no {told}")
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -15,18 +15,20 @@
 from gullmount.checker.histories import check_history
 from gullmount.days.run import in_virtual_time
 from gullmount.keepers.client import EndUnknown, KeeperCalls, NoKeeper, Told
+from gullmount.keepers.group import Group as KeeperGroup
+from gullmount.keepers.group import needed
 from gullmount.keepers.node import Keeper
 from gullmount.keepers.round import Change, Phase, Round, Settling
 from gullmount.keepers.store import Damaged, MemoryStore, SqliteStore, StoreFault
 from gullmount.keepers.terms import KeeperTerms
-from gullmount.keepers.word import Joining, Word, needed
+from gullmount.keepers.word import Joining, Word
 from gullmount.net import MemoryNet
 from gullmount.standins.links import Links, Party
 from gullmount.standins.record import Record
 from gullmount.yamlfile import BadFile, parse
 
 MEMBERS = {number: f"10.0.0.{number}:7299" for number in (1, 2, 3)}
-THREE = (1, 2, 3)
+THREE = KeeperGroup(0, MEMBERS, {})
 
 
 class Group:
@@ -50,7 +52,8 @@
 
     async def live(self, number: int, found: bool, scope: anyio.CancelScope) -> None:
         self.births += 1
-        terms = KeeperTerms(number=number, group="g", members=MEMBERS, disk="none")
+        here = f"10.0.0.{number}:7299"
+        terms = KeeperTerms(number=number, group="g", members=MEMBERS, disk="none", listen=here)
 
         def log(event: str, **fields: Any) -> None:
             self.logs.append((number, event, fields))
@@ -58,7 +61,7 @@
         with scope:
             chance = Random(self.births)
             party = self.party(f"10.0.0.{number}")
-            store = self.stores[number]
+            store = self.stores.setdefault(number, MemoryStore())
             await Keeper(terms, net=party, store=store, chance=chance, log=log, found=found).run()
 
     def kill(self, *numbers: int) -> None:
@@ -214,7 +217,7 @@
 
 def test_answers_of_a_life_that_was_followed_are_not_counted() -> None:
     """Guards against a keeper that lost its disk after it promised: the promise is not there any more."""
-    words = {number: Word(number, THREE) for number in THREE}
+    words = {number: Word(number, THREE) for number in MEMBERS}
     one = Round(Change("job", 0, "a"), (1, 1, 0), THREE, words[1].lives)
     answers = {number: word.prepare("job", one.ballot) for number, word in words.items()}
     words[3].joined(2, 1)
@@ -251,7 +254,7 @@
 
     async def scene(group: Group, at: int, blank: bool) -> list[dict[str, Any]]:
         record, client = Record(), group.client()
-        client.preferred["job"] = 0
+        client.preferred["job"] = MEMBERS[1]
         group.kill(number)
         await anyio.sleep(1)
         rows = group.stores[number].rows
@@ -301,7 +304,7 @@
 
 def test_change_that_is_broken_off_while_it_is_written_may_have_been_made() -> None:
     """Guards against "nothing was changed" where the time was up in the second phase."""
-    words = {number: Word(number, THREE) for number in THREE}
+    words = {number: Word(number, THREE) for number in MEMBERS}
     settling = Settling("job", 0, "a", "mark")
     one = settling.begin((1, 1, 0), THREE, words[1].lives)
     assert not settling.begun
@@ -396,7 +399,7 @@
     ("change", "said"),
     [
         ("number: 4", "not among the members"),
-        ("members: {1: 'a:1', 2: 'b:1'}", "three or five"),
+        ("members: {1: 'a:1', 2: 'b:1'}", "three to five"),
         ("members: {1: 'a:1', 2: 'b:1', 3: 'a:1'}", "named twice: a:1"),
         ("members: {1: 'a:1', 2: 'b:1', 3: 'nowhere'}", "host:port"),
     ],
