--- a/gullmount/ownership/jobs.py
+++ b/gullmount/ownership/jobs.py
@@ -5,7 +5,8 @@
             held.check()                     # raises TermOver once the term is over
             await act(held.token)            # whoever is acted on refuses a lower token than it has seen
 
-The body is cancelled when the term ends without renewal, and `hold` then raises TermOver.
+The body is cancelled when the term ends without renewal, or when the job is handed over to an umpire that
+has fewer (`spread.py`), and `hold` then raises TermOver.
 """
 
 from __future__ import annotations
@@ -20,9 +21,9 @@
 
 from gullmount.keepers.client import EndUnknown, NoKeeper, Registers, Told
 from gullmount.ownership.lease import Lease, State
+from gullmount.ownership.spread import Losses, claim_from, hands_over, to_ask_for
 
-SPREAD = 0.5  # s over which claims are drawn when an owner is gone: hundreds must not come in one moment
-SPREAD_FREE = 0.2  # s likewise where it gave up the job: the next is there within a second
+LEVEL_EVERY = 3.0  # terms between looks at whether another has more jobs, up to twice that by chance
 LOOK_AGAIN = 0.1  # s before a change with no good answer is tried again, up to twice that by chance
 RELEASE_WITHIN = 1.0  # s in which a job is given up; after that the others wait out the term
 
@@ -49,6 +50,7 @@
         self.changed = anyio.Event()
         self.changing = anyio.Lock()
         self.on_seen: list[Seen] = []
+        self.losses = Losses(lease.term)
 
     def seen(self, now: float, told: Told) -> None:
         if self.lease.seen(now, told):
@@ -68,6 +70,8 @@
         self.token = view.lease.state.token
         self.scope = anyio.CancelScope()
         self.over = False
+        self.to: int | None = None  # whom it is handed over to
+        self.since = jobs.clock()
 
     @property
     def work(self) -> Any:
@@ -111,6 +115,9 @@
         self.chance = chance
         self.clock = clock
         self.log = log
+        self.me = me
+        self.term = term
+        self.offered: set[str] = set()  # jobs that are waited for just now
         self.views = {name: View(name, Lease(me, life, term, margin)) for name in names}
 
     async def run(self) -> None:
@@ -118,6 +125,23 @@
         async with anyio.create_task_group() as tasks:
             for view in self.views.values():
                 tasks.start_soon(self.watch, view)
+            if len(self.views) > 1:
+                tasks.start_soon(self.level)
+
+    @property
+    def owners(self) -> dict[str, int | None]:
+        return {name: view.lease.state.owner for name, view in self.views.items()}
+
+    async def level(self) -> None:
+        """Ask for a job of who has more than we, until cancelled. Only jobs that we go for count."""
+        while True:
+            await anyio.sleep(self.term * LEVEL_EVERY * (1 + self.chance.random()))
+            states = {name: view.lease.state for name, view in self.views.items()}
+            marked = [name for name, state in states.items() if state.wanted is not None]
+            name = to_ask_for(self.me, self.owners, marked, self.chance.random())
+            if name is not None and name in self.offered:
+                view = self.views[name]
+                await self.change(view, view.lease.want)
 
     async def watch(self, view: View) -> None:
         async for told in self.registers.watch(view.name):
@@ -151,7 +175,11 @@
     async def hold(self, name: str) -> AsyncIterator[Held]:
         """Wait until this umpire owns the job and hold it as long as the body runs. Raises TermOver."""
         view = self.views[name]
-        await self.obtain(view)
+        self.offered.add(name)
+        try:
+            await self.obtain(view)
+        finally:
+            self.offered.discard(name)
         held = Held(self, view)
         self.log("owns", job=name, token=held.token)
         try:
@@ -162,18 +190,23 @@
                 tasks.cancel_scope.cancel()
         finally:
             over, held.over = held.over, True
-            self.log("owned", job=name, token=held.token, lost=over)
-            if not over:
-                await self.give_up(view, held.token)
+            lost = over and held.to is None
+            now = self.clock()
+            view.losses.ended(now, now - held.since, lost)
+            self.log("owned", job=name, token=held.token, lost=lost)
+            if not lost:
+                await self.give_up(view, held.token, held.to)
         if over:
             raise TermOver(name)
 
     async def obtain(self, view: View) -> None:
         lease = view.lease
         while True:
-            changed = view.changed
-            spread = SPREAD_FREE if lease.state.owner is None else SPREAD
-            due = lease.free_from() + self.chance.random() * spread
+            changed, state = view.changed, lease.state
+            jobs = sum(one.lease.mine for one in self.views.values())
+            draw = self.chance.random()
+            due = claim_from(lease.free_from(), state.owner is None, state.to, self.me, jobs, draw)
+            due = max(due, view.losses.shy_until)
             if lease.mine:
                 due = self.clock()  # a claim of ours of whose end nothing was heard
                 if lease.holds(due):
@@ -196,6 +229,9 @@
             mine = lease.mine and lease.state.token == held.token
             if not mine or now >= lease.until:
                 break
+            if hands_over(self.me, self.owners, lease.state.wanted):
+                held.to = lease.state.wanted
+                break
             due = min(lease.renew_at(), lease.until)
             changed = held.view.changed
             if now < due:
@@ -208,10 +244,10 @@
         held.over = True
         held.scope.cancel()
 
-    async def give_up(self, view: View, token: int) -> None:
+    async def give_up(self, view: View, token: int, to: int | None) -> None:
         """So that the next owner need not wait out the term."""
         with anyio.move_on_after(RELEASE_WITHIN, shield=True):
             while view.lease.mine and view.lease.state.token == token:
-                if await self.change(view, view.lease.release):
+                if await self.change(view, lambda: view.lease.release(to)):
                     return
                 await self.pause()
--- a/gullmount/ownership/lease.py
+++ b/gullmount/ownership/lease.py
@@ -32,6 +32,8 @@
     beat: int
     term: float
     work: Any
+    wanted: int | None = None  # umpire that asks the owner for it
+    to: int | None = None  # umpire that it was handed over to, while it is free
 
 
 FREE = State(None, "", 0, 0, 0.0, None)
@@ -48,7 +50,8 @@
             "beat": int(beat),
             "term": int() | float() as term,
         }:
-            return State(owner, life, token, beat, float(term), value.get("work"))
+            wanted, to = (one if type(one) is int else None for one in (value.get("wanted"), value.get("to")))
+            return State(owner, life, token, beat, float(term), value.get("work"), wanted, to)
     return FREE
 
 
@@ -108,8 +111,15 @@
             del self.asked[old]
         return self.value(self.state.token, beat, work)
 
-    def release(self) -> dict[str, Any]:
-        return {**self.value(self.state.token, 0, self.state.work), "owner": None, "life": ""}
+    def release(self, to: int | None = None) -> dict[str, Any]:
+        """Give it up; `to` says for whom."""
+        return {**self.value(self.state.token, 0, self.state.work), "owner": None, "life": "", "to": to}
+
+    def want(self) -> dict[str, Any]:
+        """The owner's own value with the mark that this umpire asks for the job: no renewal."""
+        state = self.state
+        told = {"owner": state.owner, "life": state.life, "token": state.token, "beat": state.beat}
+        return {**told, "term": state.term, "work": state.work, "wanted": self.me}
 
     def renew_at(self) -> float:
         return self.until + self.margin - self.term * (1 - RENEW)
--- a/gullmount/rig/lives.py
+++ b/gullmount/rig/lives.py
@@ -170,6 +170,7 @@
         self.folder = day.folder / f"keeper-{number}"
         self.running_as: Process | None = None
         self.scope: anyio.CancelScope | None = None
+        self.over = anyio.Event()  # the last life's tasks have ended: its address is free
         self.births = 0
         self.wanted = False  # whether it is to be there, but for a fault
         self.copies: dict[int, Any] = {}  # of its disk, by the fault they are for
@@ -188,14 +189,17 @@
     def begin(self, found: bool = False) -> None:
         self.wanted = True
         if self.scope is None and not self.day.over:
-            self.scope = anyio.CancelScope()
-            self.day.tasks.start_soon(self.live, self.scope, found)
+            self.scope, self.over = anyio.CancelScope(), anyio.Event()
+            self.day.tasks.start_soon(self.live, self.scope, found, self.over)
 
-    async def live(self, scope: anyio.CancelScope, found: bool) -> None:
+    async def live(self, scope: anyio.CancelScope, found: bool, over: anyio.Event) -> None:
         self.births += 1
         self.day.record.note("keeper_up", keeper=self.number)
-        with scope:
-            await (self.live_here(found) if self.day.virtual else self.live_apart(found))
+        try:
+            with scope:
+                await (self.live_here(found) if self.day.virtual else self.live_apart(found))
+        finally:
+            over.set()
 
     async def live_here(self, found: bool) -> None:
         PROCESS.set(self.process)
@@ -240,6 +244,7 @@
             stopped.forget(self.process)
         scope.cancel()
         await self.party.kill()
+        await self.over.wait()
 
     async def stop(self) -> None:
         if self.running_as is not None:
--- a/gullmount/rig/sweep.py
+++ b/gullmount/rig/sweep.py
@@ -20,7 +20,7 @@
 from gullmount.rig.terms import RigTerms
 
 SWEEPS = (50_000, 20, 100)  # objects and rounds between the collector's sweeps: a script makes millions
-AT_ONCE_APART = 2  # scripts on processes side by side: each has some ten of them
+AT_ONCE_APART = 4  # scripts on processes side by side: each has some ten of them
 
 
 @dataclass(frozen=True)
--- a/gullmount/rig/wires.py
+++ b/gullmount/rig/wires.py
@@ -115,7 +115,8 @@
     async def write(self, stream: Stream, scope: anyio.CancelScope) -> None:
         with self.take:
             async for due, data in self.take:
-                await anyio.sleep_until(due)
+                if due > anyio.current_time():
+                    await anyio.sleep_until(due)
                 await self.wire.whole(self.way)
                 try:
                     if data:
--- /dev/null
+++ b/tests/test_spread.py
@@ -0,0 +1,164 @@
+"""Many jobs among those who offer: evenly, and none back and forth."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import AsyncIterator
+from random import Random
+from typing import Any
+
+import anyio
+import pytest
+
+from gullmount.days.run import in_virtual_time
+from gullmount.keepers.client import Told
+from gullmount.ownership.jobs import Jobs, TermOver
+from gullmount.ownership.spread import SHY_MOST, Losses, claim_from, hands_over, to_ask_for
+from tests.test_ownership import OneRegister, SeenBy
+
+TERM, MARGIN = 2.0, 0.3
+NAMES = [f"job-{one}" for one in range(12)]
+
+
+class Registers:
+    """Several registers as one umpire sees them."""
+
+    def __init__(self, of: dict[str, OneRegister], number: int) -> None:
+        self.seen = {name: SeenBy(one, number) for name, one in of.items()}
+
+    async def read(self, register: str) -> Told:
+        return await self.seen[register].read(register)
+
+    async def change(self, register: str, expect: int, value: Any) -> tuple[bool, Told]:
+        return await self.seen[register].change(register, expect, value)
+
+    def watch(self, register: str) -> AsyncIterator[Told]:
+        return self.seen[register].watch(register)
+
+
+class Offerers:
+    """Umpires that all go for all jobs; `moves` counts who began to own which."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup, names: list[str]) -> None:
+        self.tasks = tasks
+        self.registers = {name: OneRegister() for name in names}
+        self.scopes: dict[int, anyio.CancelScope] = {}
+        self.moves: list[tuple[float, int, str]] = []
+
+    def begin(self, number: int) -> None:
+        self.scopes[number] = anyio.CancelScope()
+        self.tasks.start_soon(self.live, number, self.scopes[number])
+
+    async def live(self, number: int, scope: anyio.CancelScope) -> None:
+        seen = Registers(self.registers, number)
+        life = f"{number} from {anyio.current_time()}"
+        jobs = Jobs(
+            seen,
+            number,
+            life,
+            list(self.registers),
+            term=TERM,
+            margin=MARGIN,
+            chance=Random(number),
+            clock=anyio.current_time,
+        )
+
+        async def work(name: str) -> None:
+            while True:
+                try:
+                    async with jobs.hold(name):
+                        self.moves.append((anyio.current_time(), number, name))
+                        await anyio.sleep_forever()
+                except* TermOver:
+                    pass
+
+        with scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(jobs.run)
+                for name in self.registers:
+                    tasks.start_soon(work, name)
+
+    def counts(self) -> list[int]:
+        owners = Counter(one.told.value["owner"] for one in self.registers.values())
+        return sorted(owners.values())
+
+
+def played(scene: Any, names: list[str] = NAMES) -> None:
+    async def play() -> None:
+        async with anyio.create_task_group() as tasks:
+            await scene(Offerers(tasks, names))
+            tasks.cancel_scope.cancel()
+
+    in_virtual_time(play, 1)
+
+
+def test_jobs_are_spread_evenly_and_come_to_rest() -> None:
+    async def scene(offerers: Offerers) -> None:
+        for number in range(4):
+            offerers.begin(number)
+        await anyio.sleep(60)
+        assert max(offerers.counts()) - min(offerers.counts()) < 2 and sum(offerers.counts()) == 12
+        before = len(offerers.moves)
+        await anyio.sleep(200)
+        assert len(offerers.moves) == before, "a job moved though all was even"
+        offerers.scopes[0].cancel()
+        await anyio.sleep(60)
+        assert offerers.counts() == [4, 4, 4]
+        offerers.begin(0)
+        await anyio.sleep(90)
+        assert max(offerers.counts()) - min(offerers.counts()) < 2 and len(offerers.counts()) == 4
+        assert len(offerers.moves) - before <= 3 + 12, "more moved than had to"
+
+    played(scene)
+
+
+def test_a_slow_umpire_does_not_take_back_what_it_loses_again_and_again() -> None:
+    async def scene(offerers: Offerers) -> None:
+        for number in range(3):
+            offerers.begin(number)
+        register = offerers.registers["job"]
+        for _ in range(60):
+            await anyio.sleep(2)
+            register.cut.add(0)  # for longer than its term
+            await anyio.sleep(3)
+            register.cut.discard(0)
+        taken = [number for _, number, _ in offerers.moves].count(0)
+        assert taken <= 4, offerers.moves
+        steady = [at for at, _, _ in offerers.moves if at > 100]
+        assert len(steady) <= 2
+
+    played(scene, ["job"])
+
+
+def test_losses_wait_longer_each_time_up_to_a_bound_and_are_forgotten() -> None:
+    losses = Losses(2.0)
+    waits = []
+    for _ in range(8):
+        losses.ended(100.0, 1.0, True)
+        waits.append(losses.shy_until - 100.0)
+    assert waits[:3] == [2.0, 4.0, 8.0] and waits[-1] == 2.0 * SHY_MOST
+    losses.ended(100.0, 100.0, True)
+    assert losses.shy_until == 102.0
+    losses.ended(200.0, 5.0, False)
+    assert losses.shy_until == 102.0
+
+
+@pytest.mark.parametrize(
+    ("owners", "marked", "asks"),
+    [
+        ({"a": 1, "b": 1, "c": 2}, (), "a"),
+        ({"a": 1, "b": 1, "c": 2}, ("a",), "b"),
+        ({"a": 1, "b": 1}, ("a", "b"), None),
+        ({"a": 1, "b": 2, "c": None}, (), None),
+        ({"a": None}, (), None),
+    ],
+)
+def test_who_has_two_fewer_asks_once_for_one(owners: dict[str, Any], marked: Any, asks: str | None) -> None:
+    assert to_ask_for(3, owners, marked, 0.0) == asks
+    assert hands_over(1, owners, 3) is (list(owners.values()).count(1) >= 2)
+
+
+def test_who_has_jobs_goes_later_and_whom_it_was_handed_to_first() -> None:
+    assert claim_from(5.0, True, 3, 3, 4, 0.9) == 5.0
+    times = [claim_from(5.0, True, to, 3, jobs, 1.0) for to, jobs in ((None, 0), (None, 1), (4, 0))]
+    assert times == sorted(times) and times[0] - 5.0 < times[1] - times[0] < times[2] - times[0]
