--- a/gullmount/rig/processes.py
+++ b/gullmount/rig/processes.py
@@ -11,6 +11,9 @@
 
 import anyio
 
+from gullmount.standins.record import Record
+
+STOP_WITHIN = 15.0  # s after SIGTERM in which a process ends: a req's route timeout and what it gives up
 LOOK_EVERY = 0.02  # s between looks at whether it has ended
 PR_SET_PDEATHSIG = 1  # prctl(2): the signal that a process gets when its parent has died
 
@@ -58,6 +61,13 @@
             await anyio.sleep(LOOK_EVERY)
         return code
 
+    async def stopped(self, record: Record, who: str) -> None:
+        """Told to stop, and as long as it takes."""
+        record.note("told_to_stop", who=who)
+        self.send(signal.SIGTERM)
+        with anyio.move_on_after(STOP_WITHIN):
+            await self.ended()
+
     def kill(self) -> int:
         """At once, also where it stands still; its exit code as in `ended`."""
         if self.process.poll() is None:
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -14,10 +14,12 @@
 import pytest
 
 from gullmount.checker.owners import check_owners
+from gullmount.checker.rules import Breach
 from gullmount.days.run import in_virtual_time
 from gullmount.rig import run as rig
 from gullmount.rig import stopped
 from gullmount.rig.clocks import Clocks
+from gullmount.rig.sweep import earlier, play_one, sweep
 from gullmount.rig.terms import RigTerms
 from gullmount.standins.links import PROCESS
 from gullmount.yamlfile import BadFile, parse, read
@@ -141,6 +143,38 @@
     assert not [event for event in events if event["ev"] == "vote" and "token" in event]
 
 
+def test_a_sweep_goes_on_where_it_was_broken_off_and_keeps_what_broke(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    terms, out = script([], length=1, probers=0), tmp_path / "out.jsonl"
+    about = {"script": "one"}
+    assert earlier(out, about) == []
+    played = list(sweep(terms, [1, 2], True, out))
+    with out.open("ab") as file:
+        file.write(b'{"seed":3,"bro')  # broken off while it wrote
+    assert sorted(earlier(out, about), key=lambda one: one.seed) == sorted(played, key=lambda one: one.seed)
+    assert out.read_bytes().endswith(b"}\n")
+    with pytest.raises(ValueError, match="another script"):
+        earlier(out, {"script": "other"})
+    monkeypatch.setattr("gullmount.rig.sweep.check_owners", planted)
+    broken = play_one(terms, 1, True, tmp_path / "broken")
+    assert broken.broken and (tmp_path / "broken" / "seed-1" / "record.jsonl").exists()
+
+
+def planted(events: list[dict[str, Any]]) -> list[Any]:
+    """One breach, whatever the record says."""
+    findings = check_owners(events)
+    findings[0].breaches.append(Breach(0.0, "umpire 0", "planted", []))
+    return findings
+
+
+def test_a_process_told_to_stop_before_it_hears_of_signals_is_no_crash_but_once() -> None:
+    stop = {"ev": "told_to_stop", "who": "keeper 4"}
+    end = {"ev": "process_ended", "who": "keeper 4", "code": -15}
+    told = [{**event, "t": float(number)} for number, event in enumerate([stop, end, end])]
+    assert [breach.t for breach in check_owners(told)[-1].breaches] == [2.0]
+
+
 def test_a_keeper_ended_by_a_full_disk_is_no_crash_but_once() -> None:
     full = {"ev": "disk_full", "who": "keeper 1"}
     end = {"ev": "process_ended", "who": "keeper 1", "code": 2}
