Rig: clients let go of the connections of a process that ended in peace

Where who waits for the process saw its end before who told it to stop, UmpireProcess.kill returned early and nobody closed the clients' kept connections. Closed now where the end is seen; the test fails without that.

--- a/gullmount/rig/lives.py
+++ b/gullmount/rig/lives.py
@@ -64,6 +64,8 @@
                 await process.ended()
                 if self.scope is scope and not day.over:
                     self.scope = None
+                # Its connections ended with it: a client that took one up again would count a req as lost.
+                await day.clients[self.number].close()
             finally:
                 day.record.note("process_ended", who=f"umpire {self.number}", code=process.kill())
                 if self.running_as is process:
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -19,9 +19,11 @@
 from gullmount.rig import run as rig
 from gullmount.rig import stopped
 from gullmount.rig.clocks import Clocks
+from gullmount.rig.processes import Process
 from gullmount.rig.sweep import earlier, play_one, sweep
 from gullmount.rig.terms import RigTerms
 from gullmount.standins.links import PROCESS
+from gullmount.standins.record import Record
 from gullmount.yamlfile import BadFile, parse, read
 
 SCRIPTS = Path(__file__).parent.parent / "days" / "failures"
@@ -199,3 +201,42 @@
     with pytest.raises(BadFile) as raised:
         parse(text, "short.yaml", RigTerms)
     assert said in str(raised.value) and "short.yaml:" in str(raised.value) and "faults" in str(raised.value)
+
+
+def test_clients_take_up_no_connection_of_a_process_that_has_ended(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a req that is sent into a connection whose umpire ended in peace, and counts as lost:
+    who told it to stop may see its end later than who waits for it."""
+    closed: list[bool] = []
+
+    class Kept:
+        async def close(self) -> None:
+            closed.append(True)
+
+    stopped_so = Process.stopped
+
+    async def seen_late(self: Process, record: Record, who: str) -> None:
+        await stopped_so(self, record, who)
+        await anyio.sleep(0.1)
+
+    monkeypatch.setattr(Process, "stopped", seen_late)
+    stop = {"at": 1.5, "do": "term", "who": "umpire 0", "length": 30}
+    terms = script([stop], length=3, probers=0, load={"rate": 0.1})
+    block = f"127.{225 + os.getpid() % 25}"
+
+    async def scene() -> None:
+        with anyio.fail_after(40):
+            async with anyio.create_task_group() as tasks:
+                one = rig.RigDeployment(terms, 1, tasks, False, block, tmp_path)
+                tasks.start_soon(one.play)
+                while not any(event["ev"] == "told_to_stop" for event in one.record.events):
+                    await anyio.sleep(0.01)
+                one.clients[0].idle.append((Kept(), one.record.now()))  # type: ignore[arg-type]
+                while not any(event["ev"] == "process_ended" for event in one.record.events):
+                    await anyio.sleep(0.01)
+                await anyio.sleep(0.05)
+                assert closed
+                tasks.cancel_scope.cancel()
+
+    anyio.run(scene, backend="asyncio")
