An umpire without the section loads no keepers; what one pays, and takeovers as a chart

The umpire command loads ownership only where it is switched on; a test says what is left. benchmarks/ownership.py umpire and takeover. A hundred claimants at three keepers: one at a time, four in a row.

--- a/benchmarks/ownership.py
+++ b/benchmarks/ownership.py
@@ -2,7 +2,9 @@
 
     python benchmarks/ownership.py changes     # changes a second at three keepers, and the time of one
     python benchmarks/ownership.py idle        # memory and CPU of keepers that nobody asks but by watches
-    python benchmarks/ownership.py takeover    # s without an owner by kind of fault, virtual, 100 seeds each
+    python benchmarks/ownership.py umpire      # memory and CPU of an umpire with the section and without
+    python benchmarks/ownership.py takeover    # s without an owner by kind of fault, virtual, 100 seeds each;
+                                               # and by drawn faults, from sweeps' --out files named after it
     python benchmarks/ownership.py messages    # an umpire's lines and calls a second by number, virtual
 """
 
@@ -40,6 +42,8 @@
 SCRIPT = Path(__file__).parent.parent / "days" / "failures" / "short.yaml"
 KINDS = ("kill", "cut", "stop", "term")
 SEEDS = 100
+VOTES = {"vote_life": 10.0, "to_advance": 1, "back_votes": 1, "votes_per_s": 2.0}
+CHART = Path(__file__).parent.parent / "docs" / "figures" / "takeover.png"
 
 
 def spread(times: list[float]) -> str:
@@ -114,6 +118,39 @@
             tasks.cancel_scope.cancel()
 
 
+async def umpire(addresses: list[str], pids: list[int]) -> None:
+    """Idle, with a service that nobody answers at: what is paid is the jobs' and the group's watches."""
+    block = block_of(os.getpid())
+    look = {"name": "look", "match": {"path": "/*"}, "objective": 0.5, "timeout": 2, "repeats": "retriable"}
+    keepers = {number: address for number, address in enumerate(addresses, 1)}
+    for on in (False, True):
+        with tempfile.TemporaryDirectory() as folder:
+            told = {
+                "number": 0,
+                "of": 1,
+                "zone": "a",
+                "listen": f"{block}.1.1:8000",
+                "roster": {"address": f"{block}.3.1:7001"},
+                "launcher": {"address": f"{block}.3.2:7002"},
+                "routes": [look],
+                "boxes": {"cold_share": 0.2, "warm_time": 3.0, "tip_multiple": 3.0, "max_tries": 3},
+                "releases": {"caps": [0.1, 0.5], "window": 4.0, "spare_tries": 1, **VOTES},
+                "ownership": {"switched_on": on, "keepers": keepers},
+            }
+            file = Path(folder) / "umpire.yaml"
+            file.write_bytes(msgspec.json.encode(told))
+            process = Process(["umpire", str(file)], Path(folder) / "log")
+            try:
+                await anyio.sleep(4)
+                assert process.process.poll() is None, (Path(folder) / "log").read_text()
+                before, _ = used(process.process.pid)
+                await anyio.sleep(SPAN)
+                after, mb = used(process.process.pid)
+            finally:
+                process.kill()
+        print(f"switched on {on}: {mb:.1f} MB, {(after - before) / SPAN * 100:.2f} % of a core", flush=True)
+
+
 # In virtual time
 
 
@@ -127,11 +164,36 @@
     return played.takeovers[:1]
 
 
-def takeover() -> None:
+def takeover(sweeps: list[Path]) -> None:
+    spans: dict[str, list[float]] = {}
     with ProcessPoolExecutor() as pool:
         for kind in KINDS:
             found = pool.map(partial(one_takeover, kind), range(SEEDS))
-            print(f"{kind}: {spread([span for one in found for span in one])}", flush=True)
+            spans[f"{kind}, term 3 s, virtual"] = [span for one in found for span in one]
+    for file in sweeps:
+        first, *lines = [msgspec.json.decode(line) for line in file.read_bytes().splitlines()]
+        how = "virtual" if first["virtual"] else "on processes"
+        term = first["script"]["ownership"]["term"]
+        spans[f"drawn faults, term {term:g} s, {how}"] = [span for one in lines for span in one["takeovers"]]
+    for name, times in spans.items():
+        print(f"{name}: {spread(times)}", flush=True)
+    chart(spans)
+
+
+def chart(spans: dict[str, list[float]]) -> None:
+    from matplotlib import pyplot as plt  # noqa: PLC0415 (half a second, for this alone)
+
+    figure, axes = plt.subplots(figsize=(8, 4.5))
+    for name, times in spans.items():
+        ordered = sorted(times)
+        axes.step(ordered, [(at + 1) / len(ordered) for at in range(len(ordered))], label=name, where="post")
+    axes.set(xlabel="s from the last effect of an owner to the first of the next", ylabel="share")
+    axes.set(xlim=(0, 8), ylim=(0, 1))
+    axes.grid(alpha=0.3)
+    axes.legend(fontsize=8, loc="lower right")
+    figure.tight_layout()
+    CHART.parent.mkdir(exist_ok=True)
+    figure.savefig(CHART, dpi=110)
 
 
 class Counting(KeeperCalls):
@@ -185,11 +247,11 @@
 
 
 def main() -> None:
-    what = sys.argv[1] if len(sys.argv) == 2 else ""
-    if what in ("changes", "idle"):
-        anyio.run(with_keepers, {"changes": changes, "idle": idle}[what])
+    what = sys.argv[1] if len(sys.argv) >= 2 else ""
+    if what in ("changes", "idle", "umpire"):
+        anyio.run(with_keepers, {"changes": changes, "idle": idle, "umpire": umpire}[what])
     elif what == "takeover":
-        takeover()
+        takeover(list(map(Path, sys.argv[2:])))
     elif what == "messages":
         for umpires in (25, 100, 400):
             in_virtual_time(counted, 1, umpires)
--- a/gullmount/commands/keeping.py
+++ b/gullmount/commands/keeping.py
@@ -13,7 +13,7 @@
 from gullmount.commands.files import Path_, loaded
 from gullmount.commands.starting import logger, started
 from gullmount.keepers.node import Keeper
-from gullmount.keepers.store import SqliteStore
+from gullmount.keepers.store import SqliteStore, StoreFault
 from gullmount.keepers.terms import KeeperTerms
 from gullmount.net import TcpNet
 
@@ -30,7 +30,7 @@
     gullmount keeper keeper-1.yaml            every later one, with whatever the disk holds
     """
     terms = loaded(file, KeeperTerms)
-    started(file, keep, terms, logger(keeper=terms.number), found, vouch)
+    started(file, keep, terms, logger(keeper=terms.number), found, vouch, ends=StoreFault)
 
 
 async def keep(terms: KeeperTerms, log: Any, found: bool, vouched: bool) -> None:
--- a/gullmount/commands/serving.py
+++ b/gullmount/commands/serving.py
@@ -14,9 +14,7 @@
 from gullmount.commands.files import Path_, loaded
 from gullmount.commands.starting import logger, started
 from gullmount.net import TcpNet
-from gullmount.ownership.jobs import awake_clock
 from gullmount.ownership.terms import OwnedUmpireTerms
-from gullmount.ownership.umpire import OwningUmpire
 from gullmount.umpire import FileMemory, RunningUmpire
 
 
@@ -43,19 +41,27 @@
 
 
 def run_umpire(
-    file: Path, clock: Callable[[], float] = awake_clock, wall: Callable[[], float] = time.time
+    file: Path, clock: Callable[[], float] | None = None, wall: Callable[[], float] = time.time
 ) -> None:
-    """The same, by clocks of the caller's: the one that leases go by, and the wall's."""
+    """The same, by clocks of the caller's: the one that leases go by, unless it is the machine's, and the
+    wall's."""
     terms = loaded(file, OwnedUmpireTerms)
     started(file, serve, terms, logger(umpire=terms.number), clock, wall)
 
 
 async def serve(
-    terms: OwnedUmpireTerms, log: Any, clock: Callable[[], float], wall: Callable[[], float]
+    terms: OwnedUmpireTerms, log: Any, clock: Callable[[], float] | None, wall: Callable[[], float]
 ) -> None:
     memory = FileMemory(Path(terms.remembered)) if terms.remembered else None
     given: dict[str, Any] = {"net": TcpNet(terms.connect_from), "memory": memory, "log": log, "wall": wall}
-    made = OwningUmpire(terms, clock=clock, **given) if terms.owns else RunningUmpire(terms, **given)
+    if terms.owns:
+        from gullmount.ownership.umpire import OwningUmpire  # noqa: PLC0415 (not loaded where it is off)
+
+        if clock is not None:
+            given["clock"] = clock
+        made: Any = OwningUmpire(terms, **given)
+    else:
+        made = RunningUmpire(terms, **given)
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with made as running:
             async for _ in signals:
--- a/gullmount/commands/starting.py
+++ b/gullmount/commands/starting.py
@@ -11,7 +11,6 @@
 import structlog
 
 from gullmount.commands.files import BAD_INPUT
-from gullmount.keepers.store import StoreFault
 
 
 class Lines:
@@ -50,11 +49,11 @@
     return structlog.get_logger().bind(**bound).info
 
 
-def started(file: Path, program: Any, *args: Any) -> None:
-    """Run a program until it ends; what the machine does not allow is said in one line."""
+def started(file: Path, program: Any, *args: Any, ends: type[Exception] = OSError) -> None:
+    """Run a program until it ends; what the machine does not allow (`ends`) is said in one line."""
     try:
         anyio.run(program, *args)
-    except* (OSError, StoreFault) as faults:
+    except* (OSError, ends) as faults:
         first: BaseException = faults
         while isinstance(first, BaseExceptionGroup):
             first = first.exceptions[0]
--- a/gullmount/keepers/node.py
+++ b/gullmount/keepers/node.py
@@ -98,6 +98,7 @@
         self.shown: dict[str, tuple[int, Any]] = {}  # by register: what is known to be chosen
         self.shown_at: dict[str, float] = {}  # by register: when it was last read or told of
         self.changed = anyio.Event()
+        self.dropped = 0  # messages that were not understood
         self.failed = False  # the disk failed: nothing is said any more
         self.tasks: TaskGroup
 
@@ -462,7 +463,8 @@
                 register = parse_qs(target.query).get("register", [""])[0]
                 return Said(OK, lines=self.watch(register))
         except NotUnderstood as fault:
-            self.log("message not understood", source=source_host(stream), why=str(fault))
+            self.dropped += 1
+            self.log("message not understood", source=source_host(stream), why=str(fault), count=self.dropped)
             return Said(400, b"not understood\n")
         except Unsound as fault:
             return Said(CONFLICT, f"{fault}\n".encode())
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -361,3 +361,12 @@
     )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
+
+
+def test_an_umpire_without_the_section_loads_no_more_than_what_checks_its_file() -> None:
+    code = (
+        "import sys, gullmount.commands.serving; print(sorted(name for name in sys.modules"
+        " if name.startswith(('gullmount.keepers.', 'gullmount.ownership.', 'sqlite3'))))"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "['gullmount.keepers.terms', 'gullmount.ownership.terms']"
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -11,9 +11,12 @@
 import pytest
 
 from gullmount.days.run import in_virtual_time
-from gullmount.keepers.client import Told
+from gullmount.keepers.client import KeeperCalls, Told
 from gullmount.ownership.jobs import Jobs, TermOver
 from gullmount.ownership.spread import SHY_MOST, Losses, claim_from, hands_over, to_ask_for
+from tests.test_keepers import MEMBERS
+from tests.test_keepers import Group as Scene
+from tests.test_keepers import played as group_played
 from tests.test_ownership import OneRegister, SeenBy
 
 TERM, MARGIN = 2.0, 0.3
@@ -130,6 +133,43 @@
     played(scene, ["job"])
 
 
+def test_of_a_hundred_claimants_at_three_keepers_one_gets_the_job_and_the_next_one_when_it_goes() -> None:
+    """No herd: the keepers see few claims though a hundred umpires wait for the job."""
+    owners: list[tuple[float, int, int]] = []
+
+    async def scene(group: Scene) -> None:
+        scopes = [anyio.CancelScope() for _ in range(100)]
+
+        async def live(number: int) -> None:
+            calls = KeeperCalls(group.party(f"10.1.0.{number}"), list(MEMBERS.values()), Random(number), 1.0)
+            given = {"term": TERM, "margin": MARGIN, "chance": Random(number), "clock": anyio.current_time}
+            jobs = Jobs(calls, number, f"life-{number}", ["judge"], **given)  # type: ignore[arg-type]
+            with scopes[number]:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(jobs.run)
+                    while True:
+                        try:
+                            async with jobs.hold("judge") as held:
+                                owners.append((anyio.current_time(), number, held.token))
+                                await anyio.sleep_forever()
+                        except* TermOver:
+                            pass
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(100):
+                tasks.start_soon(live, number)
+            await anyio.sleep(5)
+            for _ in range(3):
+                begun, first = anyio.current_time(), owners[-1][1]
+                scopes[first].cancel()
+                await anyio.sleep(8)
+                assert owners[-1][1] != first and owners[-1][0] - begun < 4
+            tasks.cancel_scope.cancel()
+
+    group_played(scene)
+    assert [token for _, _, token in owners] == [1, 2, 3, 4]
+
+
 def test_losses_wait_longer_each_time_up_to_a_bound_and_are_forgotten() -> None:
     losses = Losses(2.0)
     waits = []
