--- a/gullmount/commands/days.py
+++ b/gullmount/commands/days.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
 import sys
 from dataclasses import asdict
 from pathlib import Path
@@ -87,8 +86,8 @@
     seed = terms.seed if seed is None else seed
     console = Console(stderr=True)
     how = "in virtual time" if virtual else f"on loopback sockets, {terms.length:.0f} s"
-    with console.status(f"playing {terms.name}, seed {seed}, {how}"):
-        about, lines = days.run(terms, seed, virtual, days.block_of(os.getpid()))
+    with console.status(f"playing {terms.name}, seed {seed}, {how}"), days.claimed_block() as block:
+        about, lines = days.run(terms, seed, virtual, block)
     if folder is not None:
         record.write(folder, about, lines)
     events = [json.loads(line) for line in lines.splitlines()]
--- a/gullmount/commands/rigs.py
+++ b/gullmount/commands/rigs.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
 import sys
 import tempfile
 from dataclasses import asdict
@@ -17,7 +16,7 @@
 from gullmount import __version__
 from gullmount.commands.files import BAD_INPUT, BROKEN, Path_, loaded
 from gullmount.commands.shown import tell, tell_again
-from gullmount.days.run import block_of
+from gullmount.days.run import claimed_block
 from gullmount.rig import run as rigs
 from gullmount.rig import sweep as rig_sweeps
 from gullmount.rig.explore_all import PLANTS, explore_all
@@ -51,8 +50,8 @@
     how = "in virtual time" if virtual else f"on processes, {terms.length:.0f} s"
     with tempfile.TemporaryDirectory() as spare:
         place = Path(spare) if folder is None else folder
-        with console.status(f"playing {terms.name}, seed {seed}, {how}"):
-            about, lines = rigs.run(terms, seed, virtual, block_of(os.getpid()), place)
+        with console.status(f"playing {terms.name}, seed {seed}, {how}"), claimed_block() as block:
+            about, lines = rigs.run(terms, seed, virtual, block, place)
     if folder is not None:
         record.write(folder, about, lines)
     tell(about, [json.loads(line) for line in lines.splitlines()], as_json)
--- a/gullmount/days/run.py
+++ b/gullmount/days/run.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import gc
-from collections.abc import Awaitable, Callable
+import os
+import socket
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from random import Random
 from typing import Any
 
@@ -25,6 +28,8 @@
 LEAD = 1.0  # s in which umpires start before the first client comes
 TAIL = 8.0  # s after the last arrival until all is answered
 SWEEPS = (50_000, 20, 1_000_000)  # objects and rounds between sweeps; the last is out of a day's reach
+BLOCKS = 200  # of loopback addresses, from which processes that play days take one each
+CLAIM_PORT = 7999  # where a block's first user sits
 BLOCK = "127.77"  # first half of the addresses where no other process is met
 PORTS = {"umpire": 8000, "roster": 7001, "launcher": 7002, "peer": 7100}
 
@@ -401,7 +406,22 @@
 
 def block_of(number: int) -> str:
     """Loopback addresses of one process, so that days played side by side do not meet."""
-    return f"127.{20 + number % 200}"
+    return f"127.{20 + number % BLOCKS}"
+
+
+@contextmanager
+def claimed_block() -> Iterator[str]:
+    """Loopback addresses that are this process's alone for a while: a socket bound among them says so."""
+    for step in range(BLOCKS):
+        block = block_of(os.getpid() + step)
+        with socket.socket() as claim:
+            try:
+                claim.bind((f"{block}.9.9", CLAIM_PORT))
+            except OSError:
+                continue
+            yield block
+            return
+    raise OSError("all blocks of loopback addresses are taken")
 
 
 async def play(
--- a/gullmount/days/troubles.py
+++ b/gullmount/days/troubles.py
@@ -2,22 +2,58 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from math import ceil
 from random import Random
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import anyio
+from anyio.abc import TaskGroup
 
-from gullmount.days.terms import Trouble
-from gullmount.standins.boxes import Box
+from gullmount.days.terms import DayTerms, Trouble
+from gullmount.standins.boxes import Box, Surroundings
+from gullmount.standins.clients import Mood
+from gullmount.standins.fleet import Fleet
+from gullmount.standins.launcher import LauncherStandIn
+from gullmount.standins.links import Links
+from gullmount.standins.record import Record
+from gullmount.standins.roster import RosterStandIn
 
-if TYPE_CHECKING:
-    from gullmount.days.run import Deployment
+
+class Stoppable(Protocol):
+    """An umpire, which may be killed and come back."""
+
+    zone: str
+
+    def begin(self) -> None: ...
+
+    async def kill(self) -> None: ...
+
+    async def roll(self, pause: float) -> None: ...
+
+
+class Troubled(Protocol):
+    """The day under way, as its troubles see it."""
+
+    terms: DayTerms
+    tasks: TaskGroup
+    record: Record
+    links: Links
+    around: Surroundings
+    fleet: Fleet
+    roster: RosterStandIn
+    launcher: LauncherStandIn
+    mood: Mood
+    rate_times: float
+    heavy: dict[str, tuple[float, float]]
+    hot: dict[int, float]
+
+    @property
+    def lives(self) -> Sequence[Stoppable]: ...
 
 
 class Troubles:
-    def __init__(self, day: Deployment, seed: int) -> None:
+    def __init__(self, day: Troubled, seed: int) -> None:
         self.day = day
         self.random = Random(seed)
 
--- a/gullmount/rig/faults.py
+++ b/gullmount/rig/faults.py
@@ -2,29 +2,54 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Iterator
+from typing import Protocol
 
 import anyio
+from anyio.abc import TaskGroup
 
-from gullmount.keepers.client import EndUnknown, NoKeeper, NotChanged
+from gullmount.keepers.client import EndUnknown, GroupCalls, NoKeeper, NotChanged
 from gullmount.keepers.group import Members
-from gullmount.rig.lives import KeeperLife
-from gullmount.rig.terms import LINKS, WHO, Fault, names_in
+from gullmount.rig.lives import KeeperLife, UmpireHere, UmpireProcess
+from gullmount.rig.places import RECEIVER
+from gullmount.rig.terms import LINKS, WHO, Fault, RigTerms, names_in
+from gullmount.standins.launcher import LauncherStandIn
 from gullmount.standins.links import Line
+from gullmount.standins.owners import OwnersStandIn
+from gullmount.standins.record import Record
 
-if TYPE_CHECKING:
-    from gullmount.rig.run import RigDeployment
-
-RECEIVER = "receiver 0"  # whom owners announce themselves to
 SERVICES = ("roster", "launcher")  # of the day, which umpires connect to
 ASK_AGAIN = 0.3  # s between an operator's looks at the group
 TURNED = {"both": "both", "out": "in", "in": "out"}
 
 
+class Failing(Protocol):
+    """The script under way, as its faults see it."""
+
+    terms: RigTerms
+    lead: float
+    tasks: TaskGroup
+    record: Record
+    launcher: LauncherStandIn
+    owners: OwnersStandIn
+    keepers: dict[int, KeeperLife]
+
+    @property
+    def keeper_names(self) -> list[str]: ...
+
+    def umpire(self, number: int) -> UmpireHere | UmpireProcess: ...
+
+    def keeper_address(self, number: int) -> str: ...
+
+    def group_calls(self) -> GroupCalls: ...
+
+    def links_between(self) -> Iterator[tuple[tuple[str, str], Line]]: ...
+
+
 class Faults:
     """Lives as long as the script; each fault is a task."""
 
-    def __init__(self, rig: RigDeployment) -> None:
+    def __init__(self, rig: Failing) -> None:
         self.rig = rig
 
     async def run(self, number: int, fault: Fault) -> None:
--- a/gullmount/rig/lives.py
+++ b/gullmount/rig/lives.py
@@ -9,7 +9,7 @@
 from errno import ENOSPC
 from pathlib import Path
 from random import Random
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import anyio
 import msgspec
@@ -20,13 +20,10 @@
 from gullmount.keepers.terms import KeeperTerms
 from gullmount.rig import stopped
 from gullmount.rig.clocks import Clocks
+from gullmount.rig.places import KEEPER_ITSELF, RigDay
 from gullmount.rig.processes import STOP_WITHIN, Process
 from gullmount.standins.links import PROCESS, Party
 
-if TYPE_CHECKING:
-    from gullmount.rig.run import RigDeployment
-
-KEEPER_ITSELF = 7298  # port at which a keeper listens; the others find the rig's switch at another
 TORN_LEAST = 4096  # bytes of a torn file that stay: without them it is no file of its kind at all
 CLOCKED = "gullmount.commands.clocked"  # runs an umpire by clocks that can be set
 
@@ -40,7 +37,7 @@
 class UmpireProcess(Life):
     """One umpire as a process."""
 
-    day: RigDeployment
+    day: RigDay
     running_as: Process | None = None
 
     async def live(self, scope: anyio.CancelScope) -> None:
@@ -122,7 +119,7 @@
 class UmpireHere(Life):
     """One umpire as tasks, in virtual time."""
 
-    day: RigDeployment
+    day: RigDay
 
     def __init__(self, day: Deployment, number: int, zone: str) -> None:
         super().__init__(day, number, zone)
@@ -161,7 +158,7 @@
 class KeeperLife:
     """One keeper, as a process or as a task; its disk outlives it."""
 
-    def __init__(self, day: RigDeployment, number: int) -> None:
+    def __init__(self, day: RigDay, number: int) -> None:
         self.day = day
         self.number = number
         self.store = MemoryStore()
--- a/gullmount/rig/sweep.py
+++ b/gullmount/rig/sweep.py
@@ -17,7 +17,7 @@
 from gullmount.checker import check
 from gullmount.checker.histories import check_history
 from gullmount.checker.owners import check_owners, takeovers
-from gullmount.days.run import block_of
+from gullmount.days.run import claimed_block
 from gullmount.rig.run import run
 from gullmount.rig.terms import RigTerms
 from gullmount.standins.record import write
@@ -41,9 +41,12 @@
 
 def play_one(terms: RigTerms, seed: int, virtual: bool, records: Path | None = None) -> Played:
     """With `records` a folder, the record and the logs of a seed that broke something stay in it."""
-    with tempfile.TemporaryDirectory() as spare:
+    with tempfile.TemporaryDirectory() as spare, claimed_block() as block:
         place = Path(spare)
-        about, lines = run(terms, seed, virtual, block_of(os.getpid()), place)
+        try:
+            about, lines = run(terms, seed, virtual, block, place)
+        except Exception as fault:  # one seed that cannot be played must not end a sweep of thousands
+            return Played(seed, [f"not played: {innermost(fault)!r}"], 0, 0, 0, [])
         played = judged(seed, about, lines)
         if played.broken and records is not None:
             write(place, about, lines)
@@ -51,6 +54,11 @@
     return played
 
 
+def innermost(fault: BaseException) -> BaseException:
+    """The first that is no group."""
+    return innermost(fault.exceptions[0]) if isinstance(fault, BaseExceptionGroup) else fault
+
+
 def judged(seed: int, about: dict[str, Any], lines: bytes) -> Played:
     events = [msgspec.json.decode(line) for line in lines.splitlines()]
     owned = check_owners(events)
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -15,7 +15,7 @@
 
 from gullmount.checker.owners import check_owners
 from gullmount.checker.rules import Breach
-from gullmount.days.run import in_virtual_time
+from gullmount.days.run import claimed_block, in_virtual_time
 from gullmount.rig import run as rig
 from gullmount.rig import stopped
 from gullmount.rig.clocks import Clocks
@@ -158,11 +158,25 @@
     assert out.read_bytes().endswith(b"}\n")
     with pytest.raises(ValueError, match="another script"):
         earlier(out, {"script": "other"})
+    monkeypatch.setattr("gullmount.rig.sweep.run", fails)
+    assert [one.broken for one in sweep(terms, [3], True)] == [["not played: OSError('address in use')"]]
+    monkeypatch.undo()
     monkeypatch.setattr("gullmount.rig.sweep.check_owners", planted)
     broken = play_one(terms, 1, True, tmp_path / "broken")
     assert broken.broken and (tmp_path / "broken" / "seed-1" / "record.jsonl").exists()
 
 
+def fails(*_: Any) -> Any:
+    raise ExceptionGroup("tasks", [OSError("address in use")])
+
+
+def test_blocks_of_addresses_are_one_process_each() -> None:
+    with claimed_block() as one, claimed_block() as other:
+        assert one != other
+    with claimed_block() as again:
+        assert again == one
+
+
 def planted(events: list[dict[str, Any]]) -> list[Any]:
     """One breach, whatever the record says."""
     findings = check_owners(events)
