Keepers read again: one way to note an operation, one highest number

Cause: the last reading found an operation on a register noted for the history in three places (the rig's prober and two tests) and the highest number ever used computed in four.

--- a/gullmount/keepers/group.py
+++ b/gullmount/keepers/group.py
@@ -71,6 +71,11 @@
     def addresses(self) -> Members:
         return self.now | self.next
 
+    @property
+    def used(self) -> int:
+        """The highest number that was ever a member's, or is to be."""
+        return max([self.highest, *self.addresses])
+
     def others(self, me: int) -> list[int]:
         return sorted(one for one in self.addresses if one != me)
 
@@ -88,9 +93,8 @@
         return number in self.next and number not in self.now and mark != "" and mark == self.born
 
     def value(self) -> dict[str, Any]:
-        highest = max([self.highest, *self.addresses])
         members = {"now": sorted(self.now.items()), "next": sorted(self.next.items())}
-        return {**members, "highest": highest, "born": self.born}
+        return {**members, "highest": self.used, "born": self.born}
 
     def told(self) -> dict[str, Any]:
         return {"revision": self.revision, **self.value()}
@@ -109,9 +113,8 @@
             raise ValueError("these are the members now")
         if len(came) > 1 or len(left) > 1:
             raise ValueError("one keeper at a time joins, leaves or takes another's place")
-        highest = max([self.highest, *self.now])
-        if came and min(came) <= highest:
-            raise ValueError(f"keeper {min(came)} is no new number: {highest} was the highest so far")
+        if came and min(came) <= self.used:
+            raise ValueError(f"keeper {min(came)} is no new number: {self.used} was the highest so far")
         if len(set(members.values())) < len(members):
             raise ValueError("two keepers have one address")
         return min(came, default=None)
@@ -122,12 +125,12 @@
         return Group(0, self.now, dict(members), self.highest, born).value()
 
     def finished(self) -> dict[str, Any]:
-        return Group(0, self.next, {}, max([self.highest, *self.addresses])).value()
+        return Group(0, self.next, {}, self.used).value()
 
     def undone(self) -> dict[str, Any]:
         if not self.next:
             raise ValueError("no change is under way")
-        return Group(0, self.now, {}, max([self.highest, *self.addresses])).value()
+        return Group(0, self.now, {}, self.used).value()
 
 
 def listed(members: Members) -> str:
--- a/gullmount/rig/probers.py
+++ b/gullmount/rig/probers.py
@@ -49,17 +49,26 @@
                 await self.ask(name, {})
 
     async def ask(self, name: str, change: dict[str, Any]) -> None:
-        self.record.note("op", op=name, register=REGISTER, **change)
-        told, end = Told(0, None), "done"
-        try:
-            if change:
-                done, told = await self.calls.change(REGISTER, change["expect"], change["value"])
-                end = "done" if done else "other"
-            else:
-                told = await self.calls.read(REGISTER)
-            self.known = max(self.known, told.version)
-        except NoKeeper:
-            end = "none"
-        except EndUnknown:
-            end = "unknown"
-        self.record.note("op_end", op=name, end=end, version=told.version, value=told.value)
+        told = await asked(self.calls, self.record, REGISTER, name, change)
+        self.known = max(self.known, told.version)
+
+
+async def asked(
+    calls: KeeperCalls, record: Record, register: str, name: str, change: dict[str, Any]
+) -> Told:
+    """One operation and its end in the record, for `checker/histories.py`; `change` has `expect` and `value`,
+    or nothing for a reading."""
+    record.note("op", op=name, register=register, **change)
+    told, end = Told(0, None), "done"
+    try:
+        if change:
+            done, told = await calls.change(register, change["expect"], change["value"])
+            end = "done" if done else "other"
+        else:
+            told = await calls.read(register)
+    except NoKeeper:
+        end = "none"
+    except EndUnknown:
+        end = "unknown"
+    record.note("op_end", op=name, end=end, version=told.version, value=told.value)
+    return told
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -18,6 +18,7 @@
 from gullmount.keepers.group import GROUP, Finishing, Group, group_of
 from gullmount.keepers.store import MemoryStore
 from gullmount.keepers.word import Word
+from gullmount.rig.probers import asked
 from gullmount.rig.processes import Process
 from gullmount.standins.record import Record
 from tests.test_keepers import MEMBERS, KillingStore, played
@@ -246,20 +247,7 @@
 
         async def ask(name: str, expect: int | None) -> Told:
             change = {} if expect is None else {"expect": expect, "value": name}
-            record.note("op", op=name, register="job", **change)
-            told, end = Told(0, None), "none"
-            try:
-                if expect is None:
-                    end, told = "done", await client.read("job")
-                else:
-                    done, told = await client.change("job", expect, name)
-                    end = "done" if done else "other"
-            except EndUnknown:
-                end = "unknown"
-            except NoKeeper:
-                pass
-            record.note("op_end", op=name, end=end, version=told.version, value=told.value)
-            return told
+            return await asked(client, record, "job", name, change)
 
         await ask("a", 0)
         group.begin(4)
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -23,6 +23,7 @@
 from gullmount.keepers.terms import KeeperTerms
 from gullmount.keepers.word import Joining, Word
 from gullmount.net import MemoryNet
+from gullmount.rig.probers import asked
 from gullmount.standins.links import Links, Party
 from gullmount.standins.record import Record
 from gullmount.yamlfile import BadFile, parse
@@ -264,19 +265,7 @@
 
         async def ask(name: str, expect: int | None) -> None:
             change = {} if expect is None else {"expect": expect, "value": name}
-            record.note("op", op=name, register="job", **change)
-            told, end = Told(0, None), "none"
-            try:
-                if expect is None:
-                    end, told = "done", await client.read("job")
-                else:
-                    done, told = await client.change("job", expect, name)
-                    end = "done" if done else "other"
-            except EndUnknown:
-                end = "unknown"
-            except NoKeeper:
-                pass
-            record.note("op_end", op=name, end=end, version=told.version, value=told.value)
+            await asked(client, record, "job", name, change)
 
         for name in ("a", "b"):
             await ask(name, (await client.read("job")).version)
