--- a/gullmount/platform/__main__.py
+++ b/gullmount/platform/__main__.py
@@ -30,7 +30,8 @@
     gc.set_threshold(COLLECT_AFTER)
     broken: list[str] = []
     try:
-        anyio.run(run, start, TcpNet(), Log(start.told.name), backend_options={"use_uvloop": True})
+        told = start, TcpNet(), Log(start.told.name), os._exit
+        anyio.run(run, *told, backend_options={"use_uvloop": True})
     except* OSError as faults:  # an address that is taken or is not this machine's
         broken = [str(fault) for fault in faults.exceptions]
     if broken:
--- a/gullmount/platform/serving.py
+++ b/gullmount/platform/serving.py
@@ -132,9 +132,13 @@
                 await anyio.sleep(READ_AGAIN)
 
 
-async def run(start: Start, net: Net, log: Log) -> None:
+async def run(start: Start, net: Net, log: Log, leave: Callable[[int], object]) -> None:
     """Until SIGTERM or SIGINT; SIGHUP reads the configuration again. Signals that came since the process
-    began wait, as the program holds them back; none ends the process in another way."""
+    began wait, as the program holds them back.
+
+    `leave` ends the process, here. Guards against a second signal while the loop is taken down: its handlers
+    would be gone by then, and it would end as killed what has ended well.
+    """
     with anyio.open_signal_receiver(*SIGNALS) as signals:
         signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
         async with anyio.create_task_group() as tasks:
@@ -146,5 +150,5 @@
                     break
                 reading.begin()
             await umpire.stop()
+            leave(0)
             tasks.cancel_scope.cancel()
-        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # a second one must not end what has ended well
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -107,6 +107,7 @@
         self.changed = asyncio.Event()
         self.lists = 0  # calls of discovery that were answered
         self.votes: list[str] = []
+        self.asked: list[bytes] = []  # what came to boxes that are given this list
         self.vote_answer = b"OK 41 2 COMPLETE 1.0 9000\r\n"
         self.notices: list[asyncio.StreamWriter] = []
         self.tasks: set[asyncio.Task[Any]] = set()
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,308 @@
+"""Graceful shutdown: what was taken has its answer, each connection ends so that its client can repeat."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import anyio
+import pytest
+
+from tests.crossings import WITHIN, Edge, accept, client, edge, message, play, rest, until, waiting
+from tests.platform_world import HOST, OK, RUN, Running, World, answering, asked, configuration, read_message
+
+ONCE = "submit-exam"
+CLOSES = b"connection: close\r\n"
+
+
+async def stop(scene: Edge, during: Callable[[], Awaitable[None]], within: float = 2.0) -> None:
+    """Stop as at SIGTERM, but with no time in which clients still come; `during` once the doors are shut.
+    As the stop ends, and the process with it, nobody may be in the middle of a req."""
+
+    async def whole() -> None:
+        await scene.umpire.doors.stop(0.0, within)
+        assert not [front for front in scene.umpire.doors.fronts if front.busy or not front.over]
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(whole)
+        await until(lambda: scene.host.closed)
+        await during()
+
+
+async def nothing() -> None:
+    pass
+
+
+def test_what_the_machine_has_accepted_is_taken(tmp_path: Path) -> None:
+    """Reqs in the accept queue as the listener closes: more than the loop accepts in one turn."""
+
+    async def scene() -> None:
+        async with edge(tmp_path) as made:
+            made.host.umpire.pools = {}  # each is shed at once: only its being taken counts here
+            asking = [client(asked(f"a{number}")) for number in range(100)]
+            made.umpire.doors.taking.cancel()
+            await stop(made, nothing)
+            for one in asking:
+                got = await rest(one)
+                assert got.startswith(b"HTTP/1.1 503 ") and CLOSES in got
+
+    play(scene)
+
+
+@pytest.mark.parametrize("cut", [1, 40, -3], ids=["a byte", "half a head", "half a body"])
+def test_a_req_that_has_begun_to_come_is_read_to_its_end(tmp_path: Path, cut: int) -> None:
+    data = asked("a1", ONCE, body=b"body")
+
+    async def scene() -> None:
+        async with edge(tmp_path) as made:
+            asking = client(data[:cut])
+            await until(lambda: any(not front.idle for front in made.umpire.doors.fronts))
+
+            async def goes_on() -> None:
+                asking.sendall(data[cut:])
+                box = await accept(made.box)
+                assert (await message(box)).endswith(b"body")
+                box.sendall(OK)
+                got = await rest(asking)
+                assert got.endswith(b"\r\n\r\nok") and CLOSES in got
+                asking.close()
+
+            await stop(made, goes_on)
+            assert not made.umpire.doors.fronts
+
+    play(scene)
+
+
+def test_a_req_that_never_becomes_whole_is_turned_away_in_time(tmp_path: Path) -> None:
+    """503 before SIGKILL, and a clean end: nothing of it has been sent on."""
+
+    async def scene() -> None:
+        async with edge(tmp_path) as made:
+            asking = client(asked("a1", ONCE, body=b"body")[:-1])
+            await until(lambda: any(not front.idle for front in made.umpire.doors.fronts))
+            await stop(made, nothing, within=0.05)
+            got = await rest(asking)
+            assert got.startswith(b"HTTP/1.1 503 ") and CLOSES in got and not waiting(made.box)
+
+    play(scene)
+
+
+def test_a_silent_connection_ends_and_one_that_speaks_in_the_last_moment_is_served(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with edge(tmp_path) as made:
+            silent, late = client(), client()
+            await until(lambda: len(made.umpire.doors.fronts) == 2)
+
+            async def speaks() -> None:
+                late.sendall(asked("a1"))
+                box = await accept(made.box)
+                await message(box)
+                box.sendall(OK)
+                assert (await rest(late)).endswith(b"\r\n\r\nok")
+                late.close()
+
+            await stop(made, speaks)
+            assert await rest(silent) == b""
+
+    play(scene)
+
+
+def test_a_second_req_behind_the_first_gets_no_half_answer(tmp_path: Path) -> None:
+    """The first says that the connection closes (RFC 9112, 9.6); its answer is read whole, then a clean end,
+    though the second was never read."""
+
+    async def scene() -> None:
+        async with edge(tmp_path) as made:
+            asking = client(asked("a1", ONCE, body=b"x"))
+            box = await accept(made.box)
+            await message(box)
+
+            async def behind() -> None:
+                box.sendall(OK)
+                asking.sendall(asked("a2", ONCE, body=b"y" * 2000))
+                got = await rest(asking)
+                assert got.count(b"HTTP/1.1 ") == 1 and CLOSES in got and got.endswith(b"\r\n\r\nok")
+                asking.close()
+
+            await stop(made, behind)
+            assert not waiting(made.box)
+
+    play(scene)
+
+
+@pytest.mark.parametrize("state", ["connecting", "out", "retry"])
+def test_a_try_that_is_under_way_ends_in_its_answer(tmp_path: Path, state: str) -> None:
+    async def scene() -> None:
+        async with edge(tmp_path, boxes=2) as made:
+            if state == "connecting":
+                made.net.go = anyio.Event()
+            asking = client(asked("a1"))
+            await until(lambda: made.net.dialling)
+
+            async def ends() -> None:
+                made.net.go.set()
+                await until(lambda: waiting(made.box) or waiting(made.other))
+                first, second = (made.box, made.other) if waiting(made.box) else (made.other, made.box)
+                box = await accept(first)
+                await message(box)
+                if state == "retry":
+                    box.close()
+                    box = await accept(second)
+                    await message(box)
+                box.sendall(OK)
+                got = await rest(asking)
+                assert got.endswith(b"\r\n\r\nok") and CLOSES in got
+                asking.close()
+
+            await stop(made, ends)
+            assert not made.host.exchanges
+
+    play(scene)
+
+
+def test_an_answer_half_written_to_a_slow_client_is_written_to_its_end(tmp_path: Path) -> None:
+    body = b"z" * 60_000
+
+    async def scene() -> None:
+        async with edge(tmp_path) as made:
+            asking = socket.socket()
+            asking.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            asking.connect((HOST, 8100))
+            asking.sendall(asked("a1"))
+            box = await accept(made.box)
+            await message(box)
+            (front,) = made.umpire.doors.fronts
+            front.conduit.transport.set_write_buffer_limits(0)
+            raw = front.conduit.transport.get_extra_info("socket")
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+            box.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+            await until(lambda: front.conduit.held)
+
+            async def reads() -> None:
+                assert (await rest(asking)).endswith(body)
+                asking.close()
+
+            await stop(made, reads)
+
+    play(scene)
+
+
+# As a process
+
+
+def processed(
+    folder: Path, scene: Callable[[World, Running], Awaitable[None]], delay: float = 0.0
+) -> tuple[int, bytes]:
+    """A scene round `run`; its exit code and log."""
+
+    async def whole() -> tuple[int, bytes]:
+        world = World()
+        await world.surround()
+        await world.box(8200, answering(OK, delay, world.asked))
+        known = {"revision": 1, "complete": True, "members": world.members}
+        running = Running(folder, configuration(known=known))
+        await running.start()
+        try:
+            async with asyncio.timeout(20):
+                await scene(world, running)
+        finally:
+            logged = await running.stop()
+            await world.close()
+        return running.process.returncode or 0, logged
+
+    code, logged = asyncio.run(whole())
+    assert b"Traceback" not in logged, logged.decode()
+    return code, logged
+
+
+@pytest.mark.parametrize("more", [signal.SIGTERM, signal.SIGHUP, signal.SIGINT])
+def test_more_signals_during_a_shutdown_change_nothing(tmp_path: Path, more: signal.Signals) -> None:
+    """One right behind the first and many until the process is gone: it ends with 0, the req is answered."""
+
+    async def scene(world: World, running: Running) -> None:
+        flying = asyncio.create_task(running.ask(asked("a1")))
+        async with asyncio.timeout(WITHIN):
+            while not world.asked:
+                await asyncio.sleep(0.001)
+        running.process.terminate()
+        while running.process.returncode is None:
+            try:
+                os.kill(running.process.pid, more)  # `send_signal` would reap it
+            except ProcessLookupError:
+                pass
+            await asyncio.sleep(0.001)
+        assert (await flying).endswith(b"\r\n\r\nok")
+
+    code, logged = processed(tmp_path, scene, delay=0.2)
+    assert code == 0 and logged.count(b'"stopped"') == 1
+
+
+@pytest.mark.parametrize("after", [b"", b"listening"])
+def test_a_signal_during_the_start_waits_until_it_can_be_heard(tmp_path: Path, after: bytes) -> None:
+    """SIGTERM from the program's first line on: the process ends by itself and with 0."""
+    told = configuration()
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(told))
+
+    async def whole() -> tuple[int | None, bytes]:
+        environment = {**os.environ, "PROXY_CONFIG": str(path)}
+        process = await asyncio.create_subprocess_exec(
+            "/bin/sh", "-c", RUN, env=environment, stderr=asyncio.subprocess.PIPE
+        )
+        assert process.stderr is not None
+        if after:
+            while after not in await process.stderr.readline():
+                assert not process.stderr.at_eof()
+        else:
+            async with asyncio.timeout(WITHIN):
+                while not holds_back(process.pid, signal.SIGTERM):
+                    await asyncio.sleep(0.001)
+        process.terminate()
+        _, logged = await asyncio.wait_for(process.communicate(), 10)
+        return process.returncode, logged
+
+    code, logged = asyncio.run(whole())
+    assert code == 0 and b"Traceback" not in logged, logged
+
+
+def holds_back(pid: int, number: signal.Signals) -> bool:
+    status = Path(f"/proc/{pid}/status").read_text()
+    blocked = next(line for line in status.splitlines() if line.startswith("SigBlk:")).split()[1]
+    return bool(int(blocked, 16) >> (number - 1) & 1)
+
+
+def test_an_address_that_is_taken_ends_the_start_in_one_line(tmp_path: Path) -> None:
+    async def whole() -> tuple[int | None, bytes]:
+        taken = socket.create_server((HOST, 8100))
+        running = Running(tmp_path, configuration())
+        with taken, pytest.raises(AssertionError, match="ready"):
+            await running.start()
+        _, logged = await running.process.communicate()
+        return running.process.returncode, logged
+
+    code, logged = asyncio.run(whole())
+    last = logged.splitlines()[-1]
+    assert code == 1 and b"Traceback" not in logged and last.startswith(b"gullmount: ") and b"8100" in last
+
+
+def test_a_restarted_umpire_serves_while_the_old_ones_connections_end(tmp_path: Path) -> None:
+    """On the same address; the old process leaves a client that never reads and one it answers late."""
+
+    async def scene(world: World, running: Running) -> None:
+        old, flying = running.process, asyncio.create_task(running.ask(asked("a1")))
+        reader, writer = await running.connect()
+        writer.write(asked("a2"))
+        assert (await read_message(reader))[0].startswith(b"HTTP/1.1 200")
+        running.process.terminate()
+        assert await old.wait() == 0
+        assert (await flying).endswith(b"\r\n\r\nok") and await reader.read() == b""
+        await running.start()
+        assert (await running.ask(asked("a3"))).endswith(b"\r\n\r\nok")
+
+    code, _ = processed(tmp_path, scene, delay=0.2)
+    assert code == 0
