Tests claim their loopback addresses: number of the process alone let two workers meet

Seen: one run of tests/test_shutdown.py in several failed in nine places with "address already in use" on 8100 and with another umpire's answers; again alone it passed.

--- a/tests/edge.py
+++ b/tests/edge.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -13,11 +12,12 @@
 
 from gullmount.net import BROKEN, MemoryNet, Net, Stream, TcpNet
 from gullmount.umpire import RunningUmpire, UmpireTerms
+from tests.blocks import own_block
 
 BoxScript = Callable[[Stream], Awaitable[None]]
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 FULL = b"HTTP/1.1 503 Busy\r\nx-not-begun: 1\r\ncontent-length: 0\r\n\r\n"
-HOST = f"127.{60 + os.getpid() % 150}.0.1"  # of this process: test runs side by side do not meet
+HOST = f"{own_block()}.0.1"
 
 
 def terms(**changes: Any) -> UmpireTerms:
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -13,7 +13,9 @@
 from pathlib import Path
 from typing import Any
 
-HOST = f"127.{60 + os.getpid() % 150}.0.2"  # of this process: test runs side by side do not meet
+from tests.blocks import own_block
+
+HOST = f"{own_block()}.0.2"
 RUN = tomllib.loads(Path("deploy/balancer.toml").read_text())["run"]
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 SETTINGS: dict[str, Any] = {
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
 import subprocess
 import sys
 from pathlib import Path
@@ -21,6 +20,7 @@
 from gullmount.rig.probers import asked
 from gullmount.rig.processes import Process
 from gullmount.standins.record import Record
+from tests.blocks import rig_block
 from tests.test_keepers import MEMBERS, KillingStore, played
 from tests.test_keepers import Group as Scene
 
@@ -293,7 +293,7 @@
 
 
 def test_the_command_replaces_a_keeper_on_processes(tmp_path: Path) -> None:
-    block = f"127.{225 + os.getpid() % 25}.5"
+    block = f"{rig_block()}.5"
     members = {number: f"{block}.{number}:7299" for number in (1, 2, 3)}
     processes: dict[int, Process] = {}
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -4,7 +4,6 @@
 
 import gc
 import json
-import os
 import subprocess
 import sys
 from collections.abc import AsyncIterator
@@ -25,6 +24,7 @@
 from gullmount.rig.sweep import play_one, sweep
 from gullmount.rig.terms import RigTerms
 from gullmount.yamlfile import BadFile, parse, read
+from tests.blocks import rig_block
 from tests.edge import terms as umpire_terms
 
 SCRIPTS = Path(__file__).parent.parent / "days" / "failures"
@@ -295,7 +295,7 @@
     """Guards against sockets of the first that are open until they are collected: the second could not
     bind."""
     told = read(SCRIPTS / "short.yaml", RigTerms).model_dump() | {"length": 0.5, "faults": [], "probers": 0}
-    block = f"127.{225 + os.getpid() % 25}"  # beyond those that other processes draw
+    block = rig_block()
     gc.disable()
     try:
         for name in ("one", "other"):
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -16,9 +16,10 @@
 
 import pytest
 
+from tests.blocks import own_block
 from tests.edge import terms
 
-HOST = f"127.{60 + os.getpid() % 150}.1.1"
+HOST = f"{own_block()}.1.1"
 BOXES = [
     {
         "box": f"{HOST}:9001",
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
 import resource
 import subprocess
 import sys
@@ -25,6 +24,7 @@
 from gullmount.standins.links import PROCESS
 from gullmount.standins.record import Record
 from gullmount.yamlfile import BadFile, parse, read
+from tests.blocks import rig_block
 
 SCRIPTS = Path(__file__).parent.parent / "days" / "failures"
 
@@ -101,7 +101,7 @@
 
 
 def test_a_keeper_whose_disk_and_log_are_full_ends_with_its_own_code(tmp_path: Path) -> None:
-    host = f"127.{225 + os.getpid() % 25}.5"
+    host = f"{rig_block()}.5"
     members = {number: f"{host}.{number}:7299" for number in (1, 2, 3)}
     told = {"number": 1, "group": "g", "members": members, "disk": str(tmp_path / "disk")}
     (tmp_path / "keeper.yaml").write_text(json.dumps(told))
@@ -237,7 +237,7 @@
     monkeypatch.setattr(Process, "stopped", seen_late)
     stop = {"at": 1.5, "do": "term", "who": "umpire 0", "length": 30}
     terms = script([stop], length=3, probers=0, load={"rate": 0.1})
-    block = f"127.{225 + os.getpid() % 25}"
+    block = rig_block()
 
     async def scene() -> None:
         with anyio.fail_after(40):
