--- /dev/null
+++ b/tests/test_client_connections.py
@@ -0,0 +1,257 @@
+"""Clients' connections: closes that cross bytes, clients that leave, floods and slow ones."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from pathlib import Path
+
+import anyio
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from gullmount.umpire.direct_front import HELD_MOST, LINGER_MOST
+from tests.crossings import Edge, accept, client, edge, heard, message, play, reset, rest, until, waiting
+from tests.platform_world import HOST, OK, asked
+
+ONCE = "submit-exam"
+HEALTH = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+async def served(scene: Edge, mark: str) -> None:
+    """A usual client's req, sent and answered."""
+    asking = client(asked(mark))
+    box = await accept(scene.box)
+    await message(box)
+    box.sendall(OK)
+    assert (await message(asking)).endswith(b"\r\n\r\nok")
+    asking.close()
+    box.close()
+
+
+@pytest.mark.parametrize("more", [1, 5000])
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (asked("a1").replace(b"load-item", b"no-such"), b"404"),
+        (asked("a1", ONCE, body=b"x").replace(b"Content-Length: 1", b"Content-Length: 99999999"), b"413"),
+        (HEALTH.replace(b"Host: x", b"Host: x\r\nConnection: close"), b"200"),
+    ],
+)
+def test_an_answer_before_a_close_is_read_whole_whatever_the_client_still_sends(
+    tmp_path: Path, data: bytes, status: bytes, more: int
+) -> None:
+    """More bytes come in the turn in which the connection ends: FIN and no RST, which could overtake the
+    answer (RFC 9112, 9.6)."""
+
+    async def scene() -> None:
+        async with edge(tmp_path) as made:
+            asking = client(data)
+            await until(lambda: any(front.over for front in made.umpire.doors.fronts))
+            asking.sendall(b"m" * more)
+            got = await rest(asking)
+            assert got.startswith(b"HTTP/1.1 " + status) and got.count(b"content-length: ") == 1
+            asking.close()
+            await until(lambda: not made.umpire.doors.fronts)
+
+    play(scene)
+
+
+def test_a_client_that_sends_on_and_on_behind_its_error_is_cut_off(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with edge(tmp_path) as made:
+            asking = client(b"nonsense\r\n\r\n")
+            await until(lambda: any(front.over for front in made.umpire.doors.fronts))
+            (front,) = made.umpire.doors.fronts
+            asking.setblocking(False)
+            sent = 0
+
+            def more() -> bool:
+                nonlocal sent
+                try:
+                    sent += asking.send(b"m" * 65536)
+                except BlockingIOError:
+                    pass
+                except OSError:
+                    return True
+                return not made.umpire.doors.fronts
+
+            await until(more)
+            assert front.lingered <= LINGER_MOST + 300_000 and sent > LINGER_MOST
+
+    play(scene)
+
+
+def test_a_lingering_connection_ends_though_its_client_stays(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with edge(tmp_path) as made:
+            asking = client(b"nonsense\r\n\r\n")
+            await rest(asking)
+            await until(lambda: not made.umpire.doors.fronts)
+            asking.close()
+
+    play(scene)
+
+
+@pytest.mark.parametrize("leave", [reset, socket.socket.close, lambda sock: sock.shutdown(socket.SHUT_WR)])
+@pytest.mark.parametrize("at", ["part of a head", "part of a body", "connecting", "out", "answered"])
+def test_a_client_that_leaves_at_each_step(
+    tmp_path: Path, leave: Callable[[socket.socket], None], at: str
+) -> None:
+    """Nothing is left of it, nothing of it goes out afterwards, and others are served."""
+    data = asked("a1", ONCE, body=b"body")
+
+    async def scene() -> None:
+        async with edge(tmp_path) as made:
+            made.net.go = anyio.Event()
+            asking = client({"part of a head": data[:30], "part of a body": data[:-1]}.get(at, data))
+            if at.startswith("part"):
+                await until(lambda: any(not front.idle for front in made.umpire.doors.fronts))
+            elif at == "connecting":
+                await until(lambda: made.net.dialling)
+            else:
+                made.net.go.set()
+                box = await accept(made.box)
+                await message(box)
+                if at == "answered":
+                    box.sendall(OK)
+            leave(asking)
+            await until(lambda: not made.umpire.doors.fronts and not made.host.exchanges)
+            made.net.go.set()
+            if at == "connecting":
+                box = await accept(made.box)  # kept for the next req
+                await until(lambda: made.host.upstream.pools["s-1"].idle)
+                assert not waiting(box)
+            made.host.upstream.forget("s-1")
+            assert not made.umpire.entrance.marks.open
+            await served(made, "b1")
+
+    play(scene)
+
+
+def test_room_is_made_by_those_that_are_done_and_then_by_the_silent(tmp_path: Path) -> None:
+    """A connection that has begun to speak, and one with a req under way, stay."""
+
+    async def scene() -> None:
+        async with edge(tmp_path) as made:
+            most = made.umpire.entrance.clients.connections
+            done = client(b"nonsense\r\n\r\n")
+            await until(lambda: any(front.over for front in made.umpire.doors.fronts))
+            busy, speaking = client(asked("a1", ONCE, body=b"x")), client(asked("a2", ONCE, body=b"x")[:-1])
+            silent = [client() for _ in range(most - 3)]
+            await until(lambda: len(made.umpire.doors.fronts) == most)
+            box = await accept(made.box)
+            await message(box)
+            newest = [client() for _ in range(5)]
+            await until(lambda: all(waiting(one) for one in [done, *silent[:4]]))
+            box.sendall(OK)
+            assert (await message(busy)).endswith(b"\r\n\r\nok")
+            speaking.sendall(b"x")
+            box = await accept(made.box)
+            await message(box)
+            box.sendall(OK)
+            assert (await message(speaking)).endswith(b"\r\n\r\nok")
+            assert len(made.umpire.doors.fronts) <= most and not any(waiting(one) for one in newest)
+
+    play(scene)
+
+
+def test_a_req_that_crosses_its_connections_end_is_not_sent_on(tmp_path: Path) -> None:
+    """The idle time ends in the turn in which the req arrives: the client repeats it elsewhere."""
+
+    async def scene() -> None:
+        async with edge(tmp_path) as made:
+            asking = client(HEALTH)
+            await message(asking)
+            (front,) = made.umpire.doors.fronts
+            asking.sendall(asked("a1", ONCE, body=b"x"))
+            front.look(front.due)
+            with pytest.raises((EOFError, ConnectionError)):
+                await message(asking)
+            await until(lambda: not made.umpire.doors.fronts)
+            assert not waiting(made.box) and not made.net.dialling
+
+    play(scene)
+
+
+def test_a_client_that_asks_on_and_reads_nothing_is_cut_off(tmp_path: Path) -> None:
+    """What waits for it stays bounded, and usual clients are served beside it."""
+
+    async def scene() -> None:
+        async with edge(tmp_path) as made:
+            asking = socket.socket()
+            asking.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            asking.connect((HOST, 8100))
+            asking.setblocking(False)
+            await until(lambda: made.umpire.doors.fronts)
+            (front,) = made.umpire.doors.fronts
+            most = 0
+
+            def more() -> bool:
+                nonlocal most
+                try:
+                    asking.send(HEALTH * 500)
+                except BlockingIOError:
+                    pass
+                except OSError:
+                    return True
+                most = max(most, front.conduit.held)
+                return front not in made.umpire.doors.fronts
+
+            await until(more)
+            assert most <= HELD_MOST + 1000
+            await served(made, "b1")
+
+    play(scene)
+
+
+def test_slow_silent_and_pipelining_clients_beside_usual_ones(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with edge(tmp_path) as made:
+            most = made.umpire.entrance.clients.connections
+            flood = [client() for _ in range(3 * most)]
+            slow = client()
+            piped = client(HEALTH * 300)
+            data = asked("s1")
+            for at in range(len(data)):
+                slow.sendall(data[at : at + 1])
+                if at % 20 == 0:
+                    await served(made, f"u{at}")
+                await anyio.sleep(0)
+            box = await accept(made.box)
+            await message(box)
+            box.sendall(OK)
+            assert (await message(slow)).endswith(b"\r\n\r\nok")
+            await heard(piped, lambda got: got.count(b"HTTP/1.1 200") == 300)
+            assert len(made.umpire.doors.fronts) <= most
+            assert all(one.fileno() >= 0 for one in flood)
+
+    play(scene)
+
+
+@settings(max_examples=15, deadline=None, suppress_health_check=[HealthCheck.function_scoped_fixture])
+@given(st.lists(st.integers(1, 240), max_size=4), st.sampled_from([reset, socket.socket.close]))
+def test_a_req_cut_anywhere_is_taken_once_or_not_at_all(
+    tmp_path: Path, cuts: list[int], leave: Callable[[socket.socket], None]
+) -> None:
+    data = asked("a1", ONCE, body=b"body" * 5)
+
+    async def scene() -> None:
+        async with edge(tmp_path) as made:
+            asking, at = client(), 0
+            for cut in sorted(cuts):
+                asking.sendall(data[at:cut])
+                at = max(at, cut)
+                await anyio.sleep(0)
+            if at >= len(data):
+                box = await accept(made.box)
+                assert (await message(box)).endswith(b"body")
+                box.sendall(OK)
+                assert (await message(asking)).endswith(b"\r\n\r\nok")
+            leave(asking)
+            await until(lambda: not made.umpire.doors.fronts and not made.host.exchanges)
+            assert made.host.count == (at >= len(data))
+
+    play(scene)
