Trial: all of a req's end-to-end headers go on to boxes

The platform's entrance passed on Host, Request-Class and Request-Id alone; a route whose repeats boxes know again has a mark of its own. Here all goes on but what is of one hop (RFC 9110, 7.6).

--- a/gullmount/platform/entrance.py
+++ b/gullmount/platform/entrance.py
@@ -10,7 +10,7 @@
 from gullmount.profile import SocketTerms
 from gullmount.umpire.entrance import LINK_REST, Admission, BoxBounds, ClientBounds
 from gullmount.umpire.exchange import Exchange
-from gullmount.umpire.messages import KEY_MOST, Answer, Head, Headers, error_answer
+from gullmount.umpire.messages import KEY_MOST, Answer, Head, Headers, error_answer, passed_on
 from gullmount.umpire.outcomes import PLAIN, Ending
 from gullmount.umpire.wire import Fault
 
@@ -32,6 +32,7 @@
 MARKS_MOST = 20_000  # ids remembered at most in that time, some 2 MB
 
 WELL = "/healthz"
+OUR_FIELDS = (b"content-length", b"request-timeout-ms")  # told anew to a box
 REQ_ID = re.compile(r"[!-~]+", re.ASCII)
 NOT_STARTED = b"not-started"
 COMPLETED = 200
@@ -160,8 +161,9 @@
         return self.addresses[box]
 
     def onward(self, exchange: Exchange, patience: float) -> Headers:
-        kept = [pair for pair in exchange.head.headers if pair[0] in (b"host", b"request-class")]
-        kept.append((b"request-id", exchange.mark.encode()))
+        """All that the client sent but what is of one hop (RFC 9110, 7.6): an intermediary does not know what
+        boxes go by, such as the mark by which they know a deduped req again."""
+        kept = [pair for pair in passed_on(exchange.head.headers) if pair[0] not in OUR_FIELDS]
         kept.append((b"request-timeout-ms", b"%d" % max(1, round(patience * 1000))))
         return kept
 
--- a/gullmount/umpire/direct_front.py
+++ b/gullmount/umpire/direct_front.py
@@ -109,12 +109,13 @@
                 self.refuse(Fault(408, "too slow"))
 
     def close(self) -> None:
-        """End the connection, on which nothing may be under way.
+        """End the connection, on which nothing may be under way. An idle one stays if its client has just
+        spoken: that is heard in the next turn.
 
         Guards against a reset that overtakes an answer just written: while the client may still be sending,
         only our side ends, and what comes is heard and dropped for a while (RFC 9112, 9.6).
         """
-        if self.over:
+        if self.over or (self.idle and not self.conduit.quiet):
             return
         self.over = True
         if self.conduit.held or self.host.now() < self.wrote_at + self.bounds.linger:
--- a/gullmount/umpire/doors.py
+++ b/gullmount/umpire/doors.py
@@ -13,6 +13,7 @@
 
 LOOK_EVERY = 0.01  # s between looks whether the last answers have left, at a stop
 SILENT_FOR = 0.1  # s without a byte after which an idle connection ends at a stop: a req may be on its way
+LOOKED_AT = 8  # connections asked for what lies unheard there, to make room for one: each is a system call
 SWEEP = 0.2  # s between looks for connections whose time is up
 
 
@@ -107,12 +108,20 @@
         return front
 
     def make_room(self) -> None:
-        """One that has its last answer and only lets its client read it goes first."""
-        done = next((front for front in self.fronts if isinstance(front, DirectFront) and front.done), None)
-        if done is None:
-            return super().make_room()
-        done.abort()
-        self.fronts.pop(done, None)
+        """One that has its last answer and only lets its client read it goes first. One whose client has just
+        spoken, not heard yet, stays: the next one goes."""
+        direct = [front for front in self.fronts if isinstance(front, DirectFront)]
+        done = next((front for front in direct if front.done), None)
+        if done is not None:
+            done.abort()
+            self.fronts.pop(done, None)
+            return
+        idle = [front for front in direct if front.idle and not front.busy]
+        for front in sorted(idle, key=lambda front: (front.taken > 0, front.idle_since))[:LOOKED_AT]:
+            front.close()
+            if front.over:
+                self.fronts.pop(front, None)  # at once: its end is told later, and the newcomer is here
+                return
 
     def forget(self, front: DirectFront) -> None:
         self.fronts.pop(front, None)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -13,8 +13,8 @@
 import anyio
 import pytest
 
-from tests.crossings import WITHIN, Edge, accept, client, edge, message, play, rest, until, waiting
-from tests.platform_world import HOST, OK, RUN, Running, World, answering, asked, configuration, read_message
+from tests.crossings import WITHIN, Edge, accept, asked, client, edge, message, play, rest, until, waiting
+from tests.platform_world import HOST, OK, RUN, Running, World, answering, configuration, read_message
 
 ONCE = "submit-exam"
 CLOSES = b"connection: close\r\n"
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -19,6 +19,7 @@
     DISCOVERY,
     Edge,
     accept,
+    asked,
     client,
     edge,
     heard,
@@ -32,7 +33,7 @@
 )
 from tests.platform_scene import Scene, silent, told
 from tests.platform_scene import play as play_virtual
-from tests.platform_world import HOST, NEWS, OK, asked
+from tests.platform_world import HOST, NEWS, OK
 
 CONTROL, MOVED, MOVED_CONTROL = 8102, 8111, 8112
 
