--- a/tests/test_connection_reuse.py
+++ b/tests/test_connection_reuse.py
@@ -273,9 +273,9 @@
             asking.close()
             await until(lambda: not made.host.exchanges)
             made.net.go.set()
-            await accept(made.box)
+            box = await accept(made.box)  # held: it would end with its last reference
             await until(lambda: made.host.upstream.pools["s-1"].idle)
-            assert made.host.upstream.pools["s-1"].idle[0].idle_since <= begun
+            assert not waiting(box) and made.host.upstream.pools["s-1"].idle[0].idle_since <= begun
 
     play(scene)
 
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -331,7 +331,7 @@
     async def scene() -> None:
         with listener(DISCOVERY) as old, listener(MOVED) as new, listener(MOVED + 50) as last:
             async with edge(tmp_path) as made, anyio.create_task_group() as tasks:
-                await accept(old)
+                watch = await accept(old)
                 whole = readable(made, discovery=f"{HOST}:{MOVED}")
                 reading = Reading(made.umpire, {"PROXY_CONFIG": str(made.path)}, tasks)
                 made.path.write_text(whole[: len(whole) // 2])
@@ -339,7 +339,10 @@
                 await until(lambda: any("not understood" in line for line in made.log))
                 assert made.umpire.discovery.address.endswith(str(DISCOVERY))
                 made.path.write_text(whole)
-                assert await call(await accept(new)) == 0
+                moved = await accept(new)
+                assert await call(moved) == 0
+                with pytest.raises((EOFError, ConnectionError)):
+                    await heard(watch, lambda data: False)  # the old one was left
                 made.path.write_text(whole[:9])
                 reading.begin()
                 made.path.write_text(whole.replace(str(MOVED), str(MOVED + 50)))
