What discovery lists is checked before it is believed; a service that counts anew is asked for all

Found by reading for what comes between a list and its use: an address that is none, or a port beyond 65535, raised ValueError or OverflowError in the task that connects (DirectUpstream.connect knows OSError and LookupError), which ended the umpire with a traceback; a size that is denormal made the module divide by zero; a service that came back with a lower revision was asked with the old one and told nothing; a client that named Request-Id in Connection had it dropped on the way to the box. Change: Discovery.listed checks address and size, `split` the port (also of the configuration), a lower revision in a list of changes leads to a call for all, the three headers a req needs go on in any case. Tests in tests/test_watches.py and test_connection_reuse.py.

--- a/gullmount/net/types.py
+++ b/gullmount/net/types.py
@@ -12,6 +12,9 @@
 
 Stream = ByteStream
 
+PORT_DIGITS = 5  # of a port, and the highest: beyond it a socket raises no OSError
+PORT_MOST = 65535
+
 # What a stream raises once its other side is gone, was reset, or was closed here by another task.
 BROKEN = (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream, OSError)
 
@@ -97,7 +100,7 @@
 def split(address: str) -> tuple[str, int]:
     """Host and port of `host:port`; raises ValueError where it is neither."""
     host, _, port = address.rpartition(":")
-    if not host or not port.isdecimal():
+    if not host or not port.isdecimal() or len(port) > PORT_DIGITS or int(port) > PORT_MOST:
         raise ValueError(f"not an address of the form host:port: {address!r}")
     return host.strip("[]"), int(port)
 
--- a/gullmount/platform/discovery.py
+++ b/gullmount/platform/discovery.py
@@ -13,6 +13,7 @@
 
 from gullmount.interface import BoxState, Listed, ListKind
 from gullmount.net import BROKEN, Net, Stream
+from gullmount.net.types import split
 from gullmount.platform.entrance import PlatformEntrance
 from gullmount.platform.watched import Spoilt, Watched
 from gullmount.umpire.host import DirectHost
@@ -25,6 +26,8 @@
 AGAIN = (0.1, 0.3)  # s, by chance between them, before the one more call after a watch that fell silent
 HEAD_MOST = 8192  # bytes of an answer's head
 ANSWER_MOST = 1 << 20  # bytes of a list: some five thousand boxes
+SIZE_MOST = 1e9  # of a box, against the others
+SIZE_LEAST = 1e-9  # below it a box counts as one of no told size, as with 0: the module divides by it
 OK = 200
 
 STATES = {"ready": BoxState.READY, "draining": BoxState.DRAINING, "gone": BoxState.GONE}
@@ -188,7 +191,9 @@
             for box in [box for box in self.processes if box not in named]:
                 self.host.upstream.forget(box)
                 del self.processes[box], self.entrance.addresses[box]
-        self.revision = page.revision
+        # A lower one: the service counts anew, and knows nothing of what we hold. It is asked for all.
+        back = kind is ListKind.CHANGES and page.revision < self.revision
+        self.revision = 0 if back else page.revision
         self.host.umpire.listed(kind, lines)
         if kind is not ListKind.REMEMBERED:
             self.first.set()
@@ -196,6 +201,12 @@
     def listed(self, entry: Entry) -> Listed:
         if entry.phase not in STATES:
             raise Spoilt("field phase has no such value")
+        if not 0 <= entry.size <= SIZE_MOST:
+            raise Spoilt("field size is out of range")
+        try:
+            split(entry.host_port)
+        except ValueError as fault:
+            raise Spoilt(f"field host_port: {fault}") from None
         started = entry.up_since_ms / 1000 + self.ahead if entry.up_since_ms else 0.0
         return Listed(
             box=entry.id,
@@ -203,6 +214,6 @@
             cell=entry.cell,
             build=entry.version_no,
             state=STATES[entry.phase],
-            power=max(0.0, entry.size),
+            power=entry.size if entry.size >= SIZE_LEAST else 0.0,
             started=started,
         )
--- a/gullmount/platform/entrance.py
+++ b/gullmount/platform/entrance.py
@@ -32,6 +32,7 @@
 MARKS_MOST = 20_000  # ids remembered at most in that time, some 2 MB
 
 WELL = "/healthz"
+NEEDED = (b"host", b"request-class", b"request-id")  # each stands there once, or the req is not taken
 OUR_FIELDS = (b"content-length", b"request-timeout-ms")  # told anew to a box
 REQ_ID = re.compile(r"[!-~]+", re.ASCII)
 NOT_STARTED = b"not-started"
@@ -163,7 +164,9 @@
     def onward(self, exchange: Exchange, patience: float) -> Headers:
         """All that the client sent but what is of one hop (RFC 9110, 7.6): an intermediary does not know what
         boxes go by, such as the mark by which they know a deduped req again."""
-        kept = [pair for pair in passed_on(exchange.head.headers) if pair[0] not in OUR_FIELDS]
+        told = exchange.head.headers
+        kept = [pair for pair in told if pair[0] in NEEDED]  # also where a client names them as of one hop
+        kept += [pair for pair in passed_on(told) if pair[0] not in NEEDED and pair[0] not in OUR_FIELDS]
         kept.append((b"request-timeout-ms", b"%d" % max(1, round(patience * 1000))))
         return kept
 
--- a/tests/test_connection_reuse.py
+++ b/tests/test_connection_reuse.py
@@ -387,7 +387,7 @@
 
 def test_all_that_is_not_of_one_hop_reaches_the_box_as_it_was_sent(tmp_path: Path) -> None:
     """Boxes may go by headers that an umpire knows nothing of, such as the mark of a deduped route."""
-    more = b"Idempotency-Key: k-7\r\nX-Hop: 1\r\nConnection: keep-alive, x-hop\r\nWork-Hint: 9\r\n"
+    more = b"Idempotency-Key: k-7\r\nX-Hop: 1\r\nConnection: x-hop, request-id\r\nWork-Hint: 9\r\n"
     sent = asked("a1", ONCE, body=b"x").replace(b"Affinity-Key", more + b"Affinity-Key")
 
     async def scene() -> None:
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -135,6 +135,59 @@
     play(scene)
 
 
+def test_a_service_that_counts_anew_is_asked_for_all(tmp_path: Path) -> None:
+    """Without a move: it came back with a lower revision than it had."""
+
+    async def scene() -> None:
+        with listener(DISCOVERY) as discovery:
+            async with edge(tmp_path) as made:
+                watch = await accept(discovery)
+                await call(watch)
+                watch.sendall(page(90, member(1)))
+                assert await call(watch) == 90
+                watch.sendall(page(2))
+                assert await call(watch) == 0
+                watch.sendall(page(3, member(2), complete=True))
+                assert await call(watch) == 3 and phases(made) == {"s-2"}
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"host_port": "nowhere"},
+        {"host_port": f"{HOST}:99999"},
+        {"host_port": f"{HOST}:{'9' * 5000}"},
+        {"size": -1.0},
+        {"size": 1e300},
+        {"size": 5e-324, "id": "s-1", "host_port": f"{HOST}:8200"},
+    ],
+)
+def test_a_list_that_cannot_be_used_ends_its_connection_alone(tmp_path: Path, fields: dict[str, Any]) -> None:
+    """Nothing of it is believed, no req meets what it would break; the next call is made."""
+
+    async def scene() -> None:
+        with listener(DISCOVERY) as discovery:
+            async with edge(tmp_path) as made:
+                watch = await accept(discovery)
+                await call(watch)
+                watch.sendall(page(2, {**member(2), **fields}))
+                if "id" in fields:
+                    assert await call(watch) == 2
+                else:
+                    with pytest.raises((EOFError, ConnectionError)):
+                        await call(watch)
+                assert phases(made) == {"s-1"}
+                asking = client(asked("a1"))
+                box = await accept(made.box)
+                await message(box)
+                box.sendall(OK)
+                assert (await message(asking)).endswith(b"\r\n\r\nok")
+
+    play(scene)
+
+
 def test_two_changes_in_one_turn_hold_in_their_order(tmp_path: Path) -> None:
     async def scene() -> None:
         with listener(DISCOVERY) as discovery:
