A watch that moves as an old answer is heard asks the new service for all

Found by reading: SIGHUP between an answer's last byte and Discovery.hear set the revision to the old service's again after the move had put it to 0. Seen by a test that forces it (fails without the change). What a silence allows of calls ends with the first good answer now; it was left over before and let one call more through at the next break.

--- a/gullmount/platform/discovery.py
+++ b/gullmount/platform/discovery.py
@@ -23,7 +23,8 @@
 WAIT = 3.0  # s a watch may wait: what a lost answer would have told counts as told 2 s after that
 SLACK = 1.0  # s beyond that after which a watch is given up as silent
 CONNECT_WITHIN = 0.8  # s; also what a connection of another kind that never comes up may take of those 2 s
-AGAIN = (0.1, 0.3)  # s, by chance between them, before the one more call after a watch that fell silent
+CALLS_MORE = 2  # after a watch that fell silent: one at once, one more if that fails
+AGAIN = 0.1, 0.3  # s between those two, by chance between these
 HEAD_MOST = 8192  # bytes of an answer's head
 ANSWER_MOST = 1 << 20  # bytes of a list: some five thousand boxes
 SIZE_MOST = 1e9  # of a box, against the others
@@ -73,6 +74,7 @@
         super().__init__(address)
         self.revision = 0
         self.first = anyio.Event()  # what was asked first was answered, or failed
+        self.calls_more = 0  # that a silence still allows
         self.ahead = host.now() - wall()  # of the wall clock: taken once, so that a start stays the same
         self.processes: dict[str, tuple[str, int, float]] = {}  # which process stands at a box's id
 
@@ -104,6 +106,7 @@
                 await self.watch_on()
             if not scope.cancel_called:
                 break
+            self.revision = 0  # also where an answer of the old service was heard as it moved
         self.scope = None
         self.first.set()
         self.host.umpire.listed(ListKind.REFUSED, [])
@@ -114,17 +117,16 @@
         Guards against the clock of what it missed: that counts as told 6 s after it fell silent, of which the
         silence takes up to 4, and the module's next call would come 1 to 3 s later.
         """
-        again = 0  # calls more that the silence allows
         while True:
             try:
                 while True:
                     await self.watch_at(self.address)
             except (Spoilt, Fault, TimeoutError, *BROKEN) as fault:
                 self.host.write_log("watch ended", why=f"{type(fault).__name__} {fault}")
-                again = len(AGAIN) if isinstance(fault, Silent) else again - 1
-            if again <= 0:
+                self.calls_more = CALLS_MORE if isinstance(fault, Silent) else self.calls_more - 1
+            if self.calls_more <= 0:
                 return
-            if again < len(AGAIN):
+            if self.calls_more < CALLS_MORE:
                 await anyio.sleep(self.host.random.uniform(*AGAIN))
 
     async def watch_at(self, address: str) -> None:
@@ -196,6 +198,7 @@
         self.revision = 0 if back else page.revision
         self.host.umpire.listed(kind, lines)
         if kind is not ListKind.REMEMBERED:
+            self.calls_more = 0
             self.first.set()
 
     def listed(self, entry: Entry) -> Listed:
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -107,6 +107,47 @@
     play(scene)
 
 
+def test_an_answer_of_the_old_service_that_is_heard_as_the_watch_moves(tmp_path: Path) -> None:
+    """SIGHUP between the answer's last byte and its being heard: the new service is asked for all."""
+
+    async def scene() -> None:
+        with listener(DISCOVERY) as old, listener(MOVED) as new:
+            async with edge(tmp_path) as made:
+                watch, discovery = await accept(old), made.umpire.discovery
+                await call(watch)
+                hear = discovery.hear
+
+                def crossed(page: Any, kind: Any) -> None:
+                    discovery.hear = hear  # type: ignore[method-assign]
+                    discovery.move(f"{HOST}:{MOVED}")
+                    hear(page, kind)
+
+                discovery.hear = crossed  # type: ignore[method-assign]
+                watch.sendall(page(95, member(2)))
+                moved = await accept(new)
+                assert await call(moved) == 0
+
+    play(scene)
+
+
+def test_a_silence_long_ago_allows_no_calls_more(tmp_path: Path) -> None:
+    """What a silent watch may ask at once ends with the first good answer."""
+
+    async def scene() -> None:
+        with listener(DISCOVERY) as discovery:
+            async with edge(tmp_path) as made:
+                made.umpire.discovery.calls_more = 2
+                watch = await accept(discovery)
+                await call(watch)
+                watch.sendall(page(2))
+                await call(watch)
+                watch.close()
+                await until(lambda: made.umpire.discovery.scope is None)
+                assert not waiting(discovery)
+
+    play(scene)
+
+
 def test_clients_are_let_in_after_the_first_list(tmp_path: Path) -> None:
     """The list in hand is old: it names a box that drains. What came before the answer is not sent there."""
 
