--- a/gullmount/umpire/general.py
+++ b/gullmount/umpire/general.py
@@ -5,7 +5,7 @@
 from math import inf
 
 from gullmount.interface import Outcome
-from gullmount.umpire.entrance import LINK_REST, Admission, BoxBounds, ClientBounds
+from gullmount.umpire.entrance import Admission, BoxBounds, ClientBounds
 from gullmount.umpire.exchange import Exchange
 from gullmount.umpire.messages import (
     OURS,
@@ -45,7 +45,7 @@
         self.boxes = BoxBounds(
             connect_within=boxes.connect_within,
             link_idle=boxes.link_idle,
-            link_rest=LINK_REST,
+            link_rest=0.0,  # not yet: `run` alone was looked into; see ROADMAP
             links=boxes.links,
             links_all=LINKS_ALL,
             answer_kept=boxes.answer_kept,
