--- a/gullmount/umpire/general.py
+++ b/gullmount/umpire/general.py
@@ -45,7 +45,7 @@
         self.boxes = BoxBounds(
             connect_within=boxes.connect_within,
             link_idle=boxes.link_idle,
-            link_rest=0.0,  # not yet: `run` alone was looked into; see ROADMAP
+            link_rest=0.0,  # its upstream has no rest: see ROADMAP
             links=boxes.links,
             links_all=LINKS_ALL,
             answer_kept=boxes.answer_kept,
--- a/gullmount/umpire/upstream.py
+++ b/gullmount/umpire/upstream.py
@@ -60,12 +60,11 @@
         self.idle: list[Link] = []
         self.open = 0
 
-    def take(self, since: float, rested: float) -> Link | None:
-        """An idle connection whose end has not been seen; the newest that has `rested`, so that the others
-        can go. One that is idle since longer may be closed by the box while the req is on its way; one that
-        had its answer just now may have a second to come."""
-        for link in [link for link in reversed(self.idle) if link.idle_since <= rested]:
-            self.idle.remove(link)
+    def take(self, since: float) -> Link | None:
+        """An idle connection whose end has not been seen; the newest, so that the others can go. One that is
+        idle since longer may be closed by the box while the req is on its way."""
+        while self.idle:
+            link = self.idle.pop()
             if not link.pump.ended and not link.pump.chunks and link.idle_since > since:
                 return link
             link.close()
@@ -96,8 +95,7 @@
 
     async def link_to(self, box: str) -> Link | Ending:
         pool = self.pools.setdefault(box, Pool())
-        now = anyio.current_time()
-        link = pool.take(now - self.bounds.link_idle, now - self.bounds.link_rest)
+        link = pool.take(anyio.current_time() - self.bounds.link_idle)
         if link is not None:
             return link
         if self.open >= self.bounds.links_all:
--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -26,7 +26,7 @@
 from gullmount.platform.discovery import Page
 from gullmount.platform.serving import PlatformUmpire
 from gullmount.platform.told import read
-from tests.platform_world import HOST, SETTINGS, configuration, entry
+from tests.platform_world import HOST, OK, SETTINGS, configuration, entry
 from tests.platform_world import asked as asked_within
 
 WITHIN = 10.0  # s in which what must become true does, also on a busy machine
@@ -186,5 +186,16 @@
             tasks.cancel_scope.cancel()
 
 
+async def served(scene: Edge, mark: str) -> None:
+    """A usual client's req, sent and answered."""
+    asking = client(asked(mark))
+    box = await accept(scene.box)
+    await message(box)
+    box.sendall(OK)
+    assert (await message(asking)).endswith(b"\r\n\r\nok")
+    asking.close()
+    box.close()
+
+
 def play(scene: Callable[[], Awaitable[None]]) -> None:
     anyio.run(scene, backend_options={"use_uvloop": True})
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -13,7 +13,6 @@
 
 from gullmount.umpire.direct_front import HELD_MOST, LINGER_MOST
 from tests.crossings import (
-    Edge,
     accept,
     asked,
     client,
@@ -23,6 +22,7 @@
     play,
     reset,
     rest,
+    served,
     until,
     waiting,
 )
@@ -32,17 +32,6 @@
 HEALTH = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
-async def served(scene: Edge, mark: str) -> None:
-    """A usual client's req, sent and answered."""
-    asking = client(asked(mark))
-    box = await accept(scene.box)
-    await message(box)
-    box.sendall(OK)
-    assert (await message(asking)).endswith(b"\r\n\r\nok")
-    asking.close()
-    box.close()
-
-
 @pytest.mark.parametrize("more", [1, 5000])
 @pytest.mark.parametrize(
     ("data", "status"),
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -28,6 +28,7 @@
     message,
     play,
     reset,
+    served,
     until,
     waiting,
 )
@@ -220,11 +221,7 @@
                     with pytest.raises((EOFError, ConnectionError)):
                         await call(watch)
                 assert phases(made) == {"s-1"}
-                asking = client(asked("a1"))
-                box = await accept(made.box)
-                await message(box)
-                box.sendall(OK)
-                assert (await message(asking)).endswith(b"\r\n\r\nok")
+                await served(made, "a1")
 
     play(scene)
 
