One way: an answer that broke off binds its key, and a key's open tries are at one build

At fault: `try_ended` remembered a key for COMPLETED alone; a broken answer ends as RESET, though the build had answered, and `wanted` even sent the further try to the earlier build. Now (`note_key`), where keys may not go back, each end that may follow an answer binds the key: all but what proves that nothing ran, and errors.

Found by reading and forced in tests as well, none of them shown by the trace: - a second req of a key went to the earlier build while the first was out at the new one, and the other way round, where the first one's bytes may wait in a cut link: `build_allowed` and `wanted` know open tries now; - a box listed with a newer build between send and answer counted as the older; - after a way back a build that is listed before its news was answered and not remembered.

--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -11,7 +11,7 @@
 import random
 from collections import defaultdict, deque
 from collections.abc import Iterable, Sequence
-from math import ceil, e, inf, log, nextafter, sqrt
+from math import ceil, e, inf, log, sqrt
 from statistics import NormalDist, fmean, median
 
 from gullmount import samples
@@ -29,7 +29,7 @@
     Verdict,
 )
 from gullmount.samples import Counts, Seen, Times, drop_before
-from gullmount.state import Box, Pace, Req, Trial, Try
+from gullmount.state import Box, Ledger, Pace, Req, Trial, Try
 
 # The split (design page)
 CAP_USE = 0.8  # of the cap; the rest is room for chance and further tries
@@ -169,29 +169,6 @@
         return (int if self.many or boxes <= 1 else ceil)(boxes * SPARE_BOXES)
 
 
-class Ledger:
-    """Sends at builds against the reqs taken, for one count: what the rule on exposure goes by."""
-
-    def __init__(self) -> None:
-        self.reqs: deque[float] = deque()
-        self.sends: dict[int, deque[float]] = defaultdict(deque)
-
-    def took(self, now: float, since: float) -> None:
-        self.reqs.append(now)
-        drop_before(self.reqs, since)
-
-    def sent(self, build: int, now: float, since: float) -> None:
-        self.sends[build].append(now)
-        drop_before(self.sends[build], since)
-
-    def counts(self, build: int, since: float) -> tuple[int, int]:
-        """Sends at the build and reqs taken since then; a send of just then still counts, a req does not."""
-        sends = self.sends[build]
-        drop_before(self.reqs, nextafter(since, inf))
-        drop_before(sends, since)
-        return len(sends), len(self.reqs)
-
-
 class Umpire:
     """Lives as long as the instance."""
 
@@ -214,6 +191,7 @@
         self.ledgers: dict[str, Ledger] = defaultdict(Ledger)
         self.share_at = self.born
         self.met: dict[float, int] = {}  # by the key's place: the latest build that answered it
+        self.out: dict[float, list[int]] = {}  # likewise: the builds at which tries are out
         self.seen: dict[tuple[int, str], deque[Seen]] = defaultdict(lambda: deque(maxlen=SEEN_MOST))
         self.base_counts: dict[str, tuple[int, int, float]] = {}
         self.warm_part = 1.0  # of the capacity of all ready boxes
@@ -271,6 +249,7 @@
             trial.usual_load = fmean(self.loads or [0])
         if phase in TAKEN_OFF:
             self.met = {place: met for place, met in self.met.items() if met != build}
+            self.out = {place: [rev for rev in outs if rev != build] for place, outs in self.out.items()}
             trial.crowded = False
         trial.stage, trial.phase, trial.cap = stage, phase, cap
         trial.share = min(trial.share, cap)
@@ -348,11 +327,9 @@
             width.note(late, len(self.pools.get(made.build, ())), now)
         req.settled = req.settled or final
         self.taken -= outcome is Outcome.CANCELLED
+        if req.key is not None:
+            self.note_key(req, made, outcome)
         if outcome is Outcome.COMPLETED:
-            phases = {trial.phase for trial in self.trials}
-            kept = Phase.ON_TRIAL in phases or (self.release.one_way and Phase.RELEASED in phases)
-            if req.key is not None and kept:
-                self.remember(req, made.build)
             self.answered.append(now)
             drop_before(self.answered, now - RATE_OVER)
         if outcome not in PROVES_UNRUN and req.group_of is None:
@@ -360,6 +337,27 @@
         if not req.settled and not req.open_tries:
             self.advance(req)
 
+    def note_key(self, req: Req, made: Try, outcome: Outcome) -> None:
+        """A try of the req's key is no more out; whether the key met its build.
+
+        Guards against answers that are on their way here, or lost, as the try ends: where keys may not go
+        back one that may have been answered counts as answered. Harm: such a key is shed where its build has
+        no room, though it may be free.
+        """
+        if made.build in (outs := self.out.get(req.place, [])):
+            outs.remove(made.build)
+        if not outs:
+            self.out.pop(req.place, None)
+        build, met = made.build, outcome is Outcome.COMPLETED
+        phases = {trial.phase for trial in self.trials}
+        kept = Phase.ON_TRIAL in phases
+        if self.release.one_way:
+            build = max(build, made.box.build)  # listed anew meanwhile, it counts as that
+            met = outcome not in (*PROVES_UNRUN, Outcome.ERROR)
+            kept = kept or Phase.RELEASED in phases or build > self.trials[-1].build
+        if met and kept:
+            self.remember(req, build)
+
     def remember(self, req: Req, build: int) -> None:
         """The key met the build.
 
@@ -376,11 +374,11 @@
                 self.met, self.trials[-1].widest = {}, 1.0
 
     def met_by(self, req: Req) -> int:
-        """The latest build that the req's key met, as far as is known; -1 for none."""
+        """The latest build that the req's key met or has a try out at, as far as is known; -1 for none."""
         if req.key is None:
             return -1
         crowds = [one.build for one in self.trials if one.crowded and one.holds(req.place, one.widest)]
-        return max([self.met.get(req.place, -1), *crowds])
+        return max([self.met.get(req.place, -1), *crowds, *self.out.get(req.place, [])])
 
     def advance(self, req: Req) -> None:
         """Send the req on, or end it at once: a req that is given up is never sat on."""
@@ -408,6 +406,8 @@
         box.credit -= 1
         box.open += 1
         self.widths[box.build].open += 1
+        if self.release.one_way and req.key is not None:
+            self.out.setdefault(req.place, []).append(box.build)
         req.open_tries.add(len(req.tries))
         req.tries.append(Try(box, now))
         self.host.send(req.id, box.id, patience)
@@ -454,8 +454,8 @@
         return route.group is Group.ALL or box.cell == first[1]
 
     def build_allowed(self, req: Req, build: int, now: float, more: int = 1) -> bool:
-        if self.release.one_way and self.met_by(req) > build:
-            return False
+        if self.release.one_way and not self.met_by(req) <= build <= min(self.out.get(req.place) or [build]):
+            return False  # a key's open tries are all at one build: they may arrive in any order
         trial = self.side(build)
         if trial is None:
             return True
@@ -531,6 +531,8 @@
         wanted = next(on_trial, newest if newest.holds(req.place) else None)
         if wanted and ((req.tries and self.side(req.tries[-1].build)) or req.route.name in wanted.failing):
             wanted = None
+        if wanted and any(build < wanted.build for build in self.out.get(req.place, ())):
+            wanted = None
         met = self.trial(self.met_by(req)) if req.key is not None else None
         if met is not None and (met is newest or self.side(met.build)):
             wanted = met if self.release.one_way or req.route.name not in met.failing else None
@@ -578,9 +580,6 @@
     def usual(self, now: float) -> float:
         return self.pace.expected(FIRST_TIME, ZONE_FORGET, now)
 
-    def unknown(self, box: Box, now: float) -> float:
-        return UNKNOWN * self.zones[box.zone].expected(self.usual(now), ZONE_FORGET, now)
-
     def wait(self, box: Box, unknown: float, now: float) -> float:
         far = (1.0 if box.zone == self.grounds.zone else FAR) * (1 + SPREAD * self.random())
         pace = box.pace.expected(unknown, FORGET, now)
@@ -606,7 +605,8 @@
             self.pace.note(time, USUAL_SMOOTH, FIRST_TIME, ZONE_FORGET, now)
             self.zones[box.zone].note(time, SMOOTH, self.usual(now), ZONE_FORGET, now)
         if outcome in (Outcome.COMPLETED, Outcome.TIMEOUT, Outcome.ERROR):
-            box.pace.note(time, SMOOTH, self.unknown(box, now), FORGET, now)
+            unknown = UNKNOWN * self.zones[box.zone].expected(self.usual(now), ZONE_FORGET, now)
+            box.pace.note(time, SMOOTH, unknown, FORGET, now)
 
     # The judge
 
--- a/gullmount/state.py
+++ b/gullmount/state.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from math import inf
+from collections import defaultdict, deque
+from math import inf, nextafter
 from typing import Protocol
 
 from gullmount.interface import BoxState, Listed, Outcome, Phase, Route, Verdict
-from gullmount.samples import Counts, Times
+from gullmount.samples import Counts, Times, drop_before
 
 
 class HearsOfTries(Protocol):
@@ -62,6 +63,29 @@
         return place >= 1 - wide if self.end else place < wide
 
 
+class Ledger:
+    """Sends at builds against the reqs taken, for one count: what the rule on exposure goes by."""
+
+    def __init__(self) -> None:
+        self.reqs: deque[float] = deque()
+        self.sends: dict[int, deque[float]] = defaultdict(deque)
+
+    def took(self, now: float, since: float) -> None:
+        self.reqs.append(now)
+        drop_before(self.reqs, since)
+
+    def sent(self, build: int, now: float, since: float) -> None:
+        self.sends[build].append(now)
+        drop_before(self.sends[build], since)
+
+    def counts(self, build: int, since: float) -> tuple[int, int]:
+        """Sends at the build and reqs taken since then; a send of just then still counts, a req does not."""
+        sends = self.sends[build]
+        drop_before(self.reqs, nextafter(since, inf))
+        drop_before(sends, since)
+        return len(sends), len(self.reqs)
+
+
 class Try:
     """Lives as long as one upstream try."""
 
--- a/tests/test_connection_reuse.py
+++ b/tests/test_connection_reuse.py
@@ -142,6 +142,64 @@
     play(scene)
 
 
+def one_way() -> dict[str, Any]:
+    settings: dict[str, Any] = deepcopy(SETTINGS)
+    settings["Specifics"] |= {"OneWay": True, "ClosedStages": 1, "SpareTries": 9.0}
+    settings["Ceilings"]["MaxAttempts"] = 1
+    return settings
+
+
+def hold_one_key_at_the_trial(made: Edge) -> None:
+    """Box `s-1` is of the trial's build, `s-2` of the earlier one; the trial is in its closed stage and holds
+    the key that all reqs here name."""
+    made.page(member(1, build=43), member(2, build=41), complete=True)
+    made.host.umpire.news(43, 0, Phase.ON_TRIAL, 0.35)
+    made.host.umpire.update_share = lambda now: None
+    made.host.umpire.trials[-1].share = 1.0
+
+
+@pytest.mark.parametrize("cut", [20, len(OK) - 1])
+@pytest.mark.parametrize("end", [reset, socket.socket.close])
+def test_a_key_whose_answer_broke_off_goes_to_no_earlier_build(
+    tmp_path: Path, end: Callable[[socket.socket], None], cut: int
+) -> None:
+    """Guards against what the users' page calls one way: the new build has answered the key, though no whole
+    answer came. What a later req of the key may not have there is shed."""
+
+    async def scene() -> None:
+        async with edge(tmp_path, boxes=2, settings=one_way()) as made:
+            hold_one_key_at_the_trial(made)
+            first = client(asked("a1"))
+            box = await accept(made.box)
+            await message(box)
+            box.sendall(OK[:cut])
+            (exchange,) = made.host.exchanges.values()
+            await until(lambda: exchange.scopes[0].answering)
+            end(box)
+            assert (await message(first)).startswith(b"HTTP/1.1 50")
+            assert (await made.ask(asked("a2", ONCE, body=b"x"))).startswith(b"HTTP/1.1 503 ")
+            assert not waiting(made.other)
+
+    play(scene)
+
+
+def test_a_key_with_a_req_out_at_the_new_build_goes_to_no_earlier_one(tmp_path: Path) -> None:
+    """The first one's answer may be there before the second would arrive at the earlier build."""
+
+    async def scene() -> None:
+        async with edge(tmp_path, boxes=2, settings=one_way()) as made:
+            hold_one_key_at_the_trial(made)
+            first = client(asked("a1"))
+            box = await accept(made.box)
+            await message(box)
+            assert (await made.ask(asked("a2", ONCE, body=b"x"))).startswith(b"HTTP/1.1 503 ")
+            box.sendall(OK)
+            assert (await message(first)).endswith(b"\r\n\r\nok")
+            assert not waiting(made.other)
+
+    play(scene)
+
+
 def test_an_answer_at_one_byte_a_turn_is_served_whole(tmp_path: Path) -> None:
     async def scene() -> None:
         async with edge(tmp_path) as made:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -9,6 +9,7 @@
 from gullmount import policy
 from gullmount.interface import BoxState, ListKind, Outcome, Phase, Verdict
 from gullmount.samples import Seen, place
+from gullmount.state import Req
 from tests.helpers import Bench
 
 EARLIER = {f"a{n}": 1 for n in range(8)}
@@ -332,6 +333,113 @@
     assert [box[0] for _, box, _ in bench.sends] == ["b", "b"]
 
 
+def one_way_trial(stage: int = 0) -> Bench:
+    """A trial in its closed stage, with keys that may not go back; `at_the_trial` is one that it holds."""
+    bench = Bench(one_way=True, closed_stages=1, by_route=True, spare_tries=1e9)
+    bench.list_boxes(EARLIER | TRIAL)
+    bench.trial(stage=stage, cap=0.5)
+    bench.pass_time(10.0)
+    return bench
+
+
+def at_the_trial(bench: Bench) -> str:
+    return next(f"k{n}" for n in range(1000) if bench.umpire.trials[-1].holds(place(f"k{n}")))
+
+
+def sent_to(bench: Bench, req: Req) -> list[str]:
+    """The zones of a req's tries: `a` is the earlier build's, `b` the trial's."""
+    return [box[0] for name, box, _ in bench.sends if name == req.id]
+
+
+def test_one_way_key_with_a_try_out_at_the_new_build_goes_to_no_earlier_one() -> None:
+    """Its answer may be on the way here, written before the second try arrives at the earlier build."""
+    bench = one_way_trial()
+    key = at_the_trial(bench)
+    first, second = bench.take("look", key), bench.take("pay", key)
+    assert sent_to(bench, first) == ["b"] and sent_to(bench, second) == []
+    assert bench.answers[second.id] == ["shed"]
+    other = bench.take("pay", key + "-another")
+    assert sent_to(bench, other) == ["a"]
+
+
+@pytest.mark.parametrize("outcome", [Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED])
+def test_one_way_key_is_bound_by_an_answer_that_was_not_heard(outcome: Outcome) -> None:
+    """The answer lies unheard at the socket as the try's time is up or its client leaves, or was lost."""
+    bench = one_way_trial()
+    key = at_the_trial(bench)
+    first = bench.take("look", key)
+    bench.finish(first, outcome)
+    later = bench.take("pay", key)
+    assert set(sent_to(bench, first)) == {"b"} and sent_to(bench, later) == []
+
+
+@pytest.mark.parametrize(
+    "outcome", [Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.ERROR]
+)
+def test_one_way_key_that_was_not_answered_is_free(outcome: Outcome) -> None:
+    bench = one_way_trial()
+    key = at_the_trial(bench)
+    first = bench.take("look", key)
+    first.left()
+    bench.finish(first, outcome)
+    assert sent_to(bench, bench.take("pay", key)) == ["a"]
+
+
+def test_one_way_key_with_a_try_out_at_an_earlier_build_stays_there() -> None:
+    """Its bytes may wait on a cut link and arrive after the new build's answer to a second try."""
+    bench = one_way_trial()
+    key = at_the_trial(bench)
+    slow, second = bench.take("pay", key), bench.take("look", key)
+    assert sent_to(bench, slow) == ["a"] and sent_to(bench, second) == ["a"]
+    bench.finish(second)
+    bench.finish(slow)
+    assert sent_to(bench, bench.take("look", key)) == ["b"]
+
+
+def test_one_way_keys_are_free_once_the_build_goes_back_under_their_tries() -> None:
+    bench = one_way_trial()
+    key = at_the_trial(bench)
+    first = bench.take("look", key)
+    bench.trial(stage=0, phase=Phase.GOING_BACK, cap=0.0)
+    second = bench.take("pay", key)
+    assert sent_to(bench, first) == ["b"] and sent_to(bench, second) == ["a"]
+    bench.finish(first)
+    assert sent_to(bench, bench.take("pay", key)) == ["a"]
+    assert not bench.umpire.met
+
+
+def test_one_way_key_met_the_build_that_its_box_was_listed_with_since() -> None:
+    """Builds count as the list last showed them: here after the send and before the answer."""
+    bench = one_way_trial()
+    key = at_the_trial(bench)
+    req = bench.take("pay", key)
+    bench.list_boxes({req.tries[0].box.id: 2}, ListKind.CHANGES)
+    bench.finish(req)
+    assert sent_to(bench, bench.take("pay", key)) == []
+
+
+def test_one_way_key_met_a_build_that_is_listed_before_its_news_and_after_a_way_back() -> None:
+    bench = one_way_trial()
+    bench.trial(stage=0, phase=Phase.WITHDRAWN, cap=0.0)
+    bench.list_boxes({"a0": 1, "a1": 1, "c0": 3})
+    bench.pass_time(10.0)
+    key = at_the_trial(bench)
+    req = bench.take("look", key)
+    assert sent_to(bench, req) == ["c"]
+    bench.finish(req)
+    assert sent_to(bench, bench.take("pay", key)) == []
+
+
+def test_tries_out_by_key_are_forgotten_with_their_ends() -> None:
+    bench = one_way_trial()
+    reqs = [bench.take("look", f"k{number % 7}") for number in range(60)]
+    assert sum(map(len, bench.umpire.out.values())) == sum(len(req.open_tries) for req in reqs)
+    bench.trial(stage=0, phase=Phase.GOING_BACK, cap=0.0)
+    for req in reqs:
+        bench.finish(req)
+    assert not bench.umpire.out
+
+
 def test_memory_is_bounded_without_a_trial() -> None:
     bench = released()
     for number in range(2000):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -25,6 +27,20 @@
 )
 
 
+@dataclass
+class Made:
+    """One try as the model knows it."""
+
+    box: str
+    at: float
+    build: int  # that it was sent to
+    key: str | None
+    listed_as: int  # the latest of its box while that stayed listed
+    stays: bool = True
+    told_back: bool = False  # the build was sent back meanwhile
+    outcome: Outcome | None = None
+
+
 class Model:
     """Keeps the whole history and judges each send from scratch."""
 
@@ -35,12 +51,15 @@
         self.trials: dict[int, tuple[Phase, int, float]] = {-1: (Phase.RELEASED, 0, 0.0)}
         self.taken: list[tuple[float, str]] = []
         self.sent: list[tuple[float, str, int]] = []
-        self.tries: dict[str, list[list]] = {}
+        self.tries: dict[str, list[Made]] = {}
         self.over: set[str] = set()
         self.met: dict[str, int] = {}
 
-    def may_have_run(self, req: Req) -> list[list]:
-        return [made for made in self.tries[req.id] if made[2] not in PROVES_UNRUN]
+    def may_have_run(self, req: Req) -> list[Made]:
+        return [made for made in self.tries[req.id] if made.outcome not in PROVES_UNRUN]
+
+    def out(self) -> list[Made]:
+        return [made for tries in self.tries.values() for made in tries if made.outcome is None]
 
     def permits(self, req: Req, name: str) -> bool:
         now = self.bench.clock
@@ -48,7 +67,7 @@
         if req.id in self.over or state is not BoxState.READY:
             return False
         tries = self.tries[req.id]
-        out = [made for made in tries if made[2] is None]
+        out = [made for made in tries if made.outcome is None]
         if out or len(tries) >= 4:
             return False
         ran = self.may_have_run(req)
@@ -56,15 +75,17 @@
         if ran and route.repeats is Repeats.NON_RETRIABLE:
             return False
         if ran and route.repeats is Repeats.DEDUPED:
-            if now >= ran[0][1] + route.dedupe_window:
+            if now >= ran[0].at + route.dedupe_window:
                 return False
-            if route.group is Group.ZONE and ran[0][0][0] != name[0]:
+            if route.group is Group.ZONE and ran[0].box[0] != name[0]:
                 return False
         return self.exposure_permits(req, build, now)
 
     def exposure_permits(self, req: Req, build: int, now: float) -> bool:
-        if self.terms.one_way and req.key and self.met.get(req.key, -1) > build:
-            return False
+        if self.terms.one_way and req.key:
+            out = {made.build for made in self.out() if made.key == req.key and not made.told_back}
+            if self.met.get(req.key, -1) > build or out - {build}:
+                return False  # two tries at two builds may be answered and arrive in any order
         if build in self.trials:
             phase, stage, cap = self.trials[build]
         elif build > max(self.trials):
@@ -95,6 +116,20 @@
         self.trials[build] = phase, stage, cap
         if phase in TAKEN_OFF:
             self.met = {key: met for key, met in self.met.items() if met != build}
+            for made in self.out():
+                made.told_back = made.told_back or made.build == build
+
+    def ended(self, made: Made, outcome: Outcome) -> None:
+        """Whether the key met the build; where keys may not go back, also by an answer that was not heard."""
+        made.outcome = outcome
+        phases = {phase for phase, _, _ in self.trials.values()}
+        tracked, build, met = Phase.ON_TRIAL in phases, made.build, outcome is Outcome.COMPLETED
+        if self.terms.one_way:
+            build = max(build, made.listed_as)
+            tracked = tracked or Phase.RELEASED in phases or build > max(self.trials)
+            met = outcome not in {*PROVES_UNRUN, Outcome.ERROR}
+        if made.key and tracked and met:
+            self.met[made.key] = max(build, self.met.get(made.key, -1))
 
     def may_shed(self, req: Req) -> bool:
         route = req.route
@@ -132,8 +167,9 @@
         req = self.find(req_id)
         assert self.model.permits(req, name)
         assert self.bench.clock + patience <= req.give_up + 1e-9
-        self.model.tries[req_id].append([name, self.bench.clock, None])
-        self.model.sent.append((self.bench.clock, req.route.name, self.model.boxes[name][0]))
+        build = self.model.boxes[name][0]
+        self.model.tries[req_id].append(Made(name, self.bench.clock, build, req.key, build))
+        self.model.sent.append((self.bench.clock, req.route.name, build))
 
     def on_answer(self, req_id: str, answer: str) -> None:
         assert req_id not in self.model.over
@@ -157,16 +193,11 @@
             return
         req = out[index % len(out)]
         made = self.model.tries[req.id][-1]
-        made[2] = outcome
         final = outcome is Outcome.COMPLETED or req.id in self.model.over
         if final:
             self.model.over.add(req.id)
-        phases = {phase for phase, _, _ in self.model.trials.values()}
-        tracked = bool(phases & {Phase.ON_TRIAL, Phase.RELEASED})
-        if outcome is Outcome.COMPLETED and req.key and tracked:
-            build = req.tries[-1].build
-            self.model.met[req.key] = max(build, self.model.met.get(req.key, -1))
-        self.bench.sends.append((req.id, made[0], 0.0))
+        self.model.ended(made, outcome)
+        self.bench.sends.append((req.id, made.box, 0.0))
         req.ended(len(req.tries) - 1, outcome, 0.1, final)
         assert final or req.id in self.model.over or req.open_tries, "neither answered nor sent on"
 
@@ -184,6 +215,9 @@
             self.model.boxes.pop(name, None)
         else:
             self.model.boxes[name] = (build, state)
+        for made in [made for made in self.model.out() if made.box == name]:
+            made.stays = made.stays and state is not BoxState.GONE
+            made.listed_as = build if made.stays else made.listed_as
         self.bench.list_boxes({name: build}, ListKind.CHANGES, state=state)
 
     def news(self, build: int, phase: Phase, stage: int) -> None:
