Watches by POST with a body, a told silence and a time for one line; an ended stream is closed at once

Need: followers of relays ask with what they have, which no query holds, and give up sooner than 15 s. A refusal now carries its status and retry-after-ms; the server closes a stream's generator at once when the other side is gone. Defaults are as before.

--- a/gullmount/calls/client.py
+++ b/gullmount/calls/client.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
+from math import inf
 
 import anyio
 import h11
@@ -12,11 +13,18 @@
 LINE_MOST = 4 << 20  # bytes of one line: a list of some ten thousand boxes
 SILENT = 15.0  # s without a line after which a watch is given up: the sender says something each 5 s
 ANSWER_MOST = 65536  # bytes of a call's answer
+RETRY_DIGITS = 7  # of milliseconds after which to ask again: some hours, more is no meant wait
 IDLE_MOST = 8  # connections to one address that are kept for the next call
 
 
 class Refused(Exception):
-    """A call that got no good answer."""
+    """A call that got no good answer; with the status, where there was one, and the seconds after which the
+    other side would be asked again, where it said so."""
+
+    def __init__(self, why: str, status: int = 0, retry_after: float | None = None) -> None:
+        super().__init__(why)
+        self.status = status
+        self.retry_after = retry_after
 
 
 class Unreached(Refused):
@@ -50,8 +58,9 @@
         self.kept = kept  # whether it is to be used again
         self.conn = h11.Connection(h11.CLIENT)
         self.answered = 0
+        self.retry_after: float | None = None  # s, as the last answer's head told it
 
-    async def ask(self, method: str, target: str, body: bytes) -> AsyncIterator[int | bytes]:
+    async def ask(self, method: str, target: str, body: bytes) -> AsyncGenerator[int | bytes, None]:
         """The status, then the body as it comes. Raises Refused whatever goes wrong."""
         conn = self.conn
         try:
@@ -70,6 +79,7 @@
                     except anyio.EndOfStream:
                         conn.receive_data(b"")
                 elif isinstance(event, h11.Response):
+                    self.retry_after = retry_after_of(event)
                     yield event.status_code
                 elif isinstance(event, h11.Data):
                     yield bytes(event.data)
@@ -91,6 +101,14 @@
         return True
 
 
+def retry_after_of(answer: h11.Response) -> float | None:
+    """What `retry-after-ms` says, in seconds; None where it says nothing that can be meant."""
+    for name, value in answer.headers:
+        if name == b"retry-after-ms" and len(value) <= RETRY_DIGITS and value.isdigit():
+            return int(value) / 1000
+    return None
+
+
 async def connected(net: Streams, address: str, kept: bool) -> Spoken:
     """Raises Unreached."""
     try:
@@ -150,28 +168,48 @@
                     await anyio.aclose_forcefully(spoken.stream)
 
 
-async def watch_lines(net: Streams, address: str, target: str) -> AsyncIterator[bytes]:
-    """The lines of a watch, which never ends by itself in peace: raises Refused."""
-    rest = b""
-    parts = open_call(net, address, "GET", target)
+async def watch_lines(
+    net: Streams,
+    address: str,
+    target: str,
+    body: bytes | None = None,
+    *,
+    silent: float = SILENT,
+    line_most: int = LINE_MOST,
+    line_within: float = inf,
+) -> AsyncGenerator[bytes, None]:
+    """The lines of a watch, which never ends by itself in peace: raises Refused. With a body it is a POST. It
+    is given up after `silent` seconds without a byte, and where a line that has begun is not whole within
+    `line_within` seconds. What is left of a line at the end is nobody's."""
+    rest, begun = b"", inf
+    try:
+        with anyio.fail_after(silent):
+            spoken = await connected(net, address, kept=False)
+    except TimeoutError:
+        raise Refused("silent") from None
+    parts = spoken.ask("GET" if body is None else "POST", target, body or b"")
     try:
         while True:
             try:
-                with anyio.fail_after(SILENT):
+                with anyio.fail_after(min(silent, max(0.0, begun + line_within - anyio.current_time()))):
                     part = await anext(parts)
             except StopAsyncIteration:
                 raise Refused("ended") from None
-            except TimeoutError:
-                raise Refused("silent") from None
             if isinstance(part, int):
                 if part != 200:  # noqa: PLR2004 (HTTP: ok)
-                    raise Refused(f"status {part}")
+                    raise Refused(f"status {part}", part, spoken.retry_after)
                 continue
             *lines, rest = (rest + part).split(b"\n")
-            if len(rest) > LINE_MOST:
+            if len(rest) > line_most or any(len(line) > line_most for line in lines):
                 raise Refused("line too long")
+            if lines or begun == inf:
+                begun = anyio.current_time() if rest else inf
             for line in lines:
                 if line:
                     yield line
+    except TimeoutError:
+        raise Refused("silent") from None
     finally:
-        await parts.aclose()  # type: ignore[attr-defined]
+        with anyio.CancelScope(shield=True):
+            await parts.aclose()
+            await anyio.aclose_forcefully(spoken.stream)
--- a/gullmount/calls/server.py
+++ b/gullmount/calls/server.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
 
 import anyio
 import h11
@@ -104,7 +104,12 @@
         await stream.send(out + (conn.send(h11.EndOfMessage()) or b""))
         return conn.our_state is h11.DONE and conn.their_state is h11.DONE
     await stream.send(out)
-    async for line in said.lines:
-        await stream.send(conn.send(h11.Data(data=line)) or b"")
+    try:
+        async for line in said.lines:
+            await stream.send(conn.send(h11.Data(data=line)) or b"")
+    finally:  # at once, also where the other side is gone: whoever tells must not go on
+        if isinstance(said.lines, AsyncGenerator):
+            with anyio.CancelScope(shield=True):
+                await said.lines.aclose()
     await stream.send(conn.send(h11.EndOfMessage()) or b"")
     return False
