Relays: a gap holds up only its own topic; waits double while nothing better is found

A topic whose news was lost or not understood kept the whole board's as_of; now only its followers wait for it.

--- a/gullmount/relays/board.py
+++ b/gullmount/relays/board.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from heapq import nsmallest
@@ -22,6 +23,36 @@
 FRAME = 64  # bytes of a line around its topics
 
 
+class Pace:
+    """Bytes a second that a follower is told: in each second at most so many, or one topic that is larger.
+    Bounded by the batches of a second."""
+
+    def __init__(self, rate: int) -> None:
+        self.rate = rate
+        self.sent: deque[tuple[float, int]] = deque()
+        self.sum = 0  # bytes of the last second
+
+    def room(self, now: float) -> int:
+        """Bytes that may be told now."""
+        while self.sent and self.sent[0][0] <= now - 1.0:
+            self.sum -= self.sent.popleft()[1]
+        return self.rate - self.sum
+
+    def at(self, size: int, now: float) -> float:
+        """When so many bytes may be told."""
+        room, at = self.room(now), now
+        for then, earlier in self.sent:
+            if room >= size:
+                break
+            room += earlier
+            at = then + 1.0
+        return at
+
+    def told(self, size: int, now: float) -> None:
+        self.sent.append((now, size))
+        self.sum += size
+
+
 class Full(Exception):
     """There are as many followers as are taken."""
 
@@ -198,7 +229,7 @@
         for topic, version in have.items():
             known = follower.in_force.get(topic, NONE)  # one that asks anew still has in force what it had
             follower.told[topic] = version
-            follower.in_force[topic] = max(known, min(in_force.get(topic, version), version))
+            follower.in_force[topic] = max(known, in_force.get(topic, version))
             if as_of > version and follower.in_force[topic] == version:
                 follower.before[topic] = as_of
             self.by_topic.setdefault(topic, {})[follower.name] = follower
@@ -217,7 +248,7 @@
             follower.mark(topic)
         else:
             follower.unmark(topic)
-        if follower.in_force[topic] < held.version:
+        if follower.in_force[topic] < held.version or topic in self.topics.gaps:
             follower.pending[topic] = None
         else:
             follower.pending.pop(topic, None)
@@ -248,7 +279,7 @@
     # What is told
 
     def changed(self, topic: str) -> list[str]:
-        """A topic has a new version: the followers for whom there is something to tell now."""
+        """A topic has a new version, or a gap: the followers for whom there is something to tell now."""
         waiting = []
         for follower in self.by_topic.get(topic, {}).values():
             self.look(follower, topic)
@@ -293,6 +324,14 @@
         head = b'{"v":1,"kind":"%b","as_of":[%d,%d]' % (kind, *topics.seen)
         return head + (b',"more":true' if more else b"")
 
+    def next_size(self, name: str, session: int) -> int:
+        """Bytes of the smallest next batch; 0 if nothing waits."""
+        follower = self.current(name, session)
+        topic = follower.first() if follower is not None else None
+        if follower is None or topic is None:
+            return 0
+        return FRAME + len(self.topics.told(topic, follower.told[topic], follower.history))
+
     # What is in force
 
     def acked(
@@ -348,7 +387,8 @@
         version = follower.in_force[topic]
         held = self.topics.held.get(topic)
         reached = version if held is None else held.covered(version)
-        return max(reached, follower.before.get(topic, NONE))
+        reached = max(reached, follower.before.get(topic, NONE))
+        return min(reached, self.topics.gaps.get(topic, reached))
 
     def summary(self) -> dict[str, InForce]:
         """By zone. Looks at those with something pending, refused or gone only."""
@@ -372,7 +412,7 @@
                 unable += 1
             for topic, (version, why) in follower.unable.items():
                 named.append(Unable(follower.name, topic, version, why))
-            if any(follower.in_force[topic] == NONE for topic in follower.pending):
+            if any(follower.in_force[topic] == NONE for topic in follower.pending):  # not all heard once
                 starting += 1
                 continue
             mark = self.watermark(follower, used=False)
--- a/gullmount/relays/following.py
+++ b/gullmount/relays/following.py
@@ -19,25 +19,24 @@
 from gullmount.relays.sums import WHY_MOST
 from gullmount.relays.topics import NONE, NULL, Applied, Topics, Version
 
-START_SPREAD = (
-    1.0  # s over which first dials are spread: a cold start of 235 a relay, and one that starts alone
-)
+START_SPREAD = 1.0  # s over which first dials are spread: a cold start of 235 a relay; little for one alone
 MOVE_SPREAD = 1.0  # s over which those dial again whose relay has gone: they were all told in one moment
 BACKOFF = 0.5  # s until one that could not be reached is dialled again; doubles each time
 BACKOFF_MOST = 15.0  # s of that: one that returns is found within
 JITTER = 0.5  # part of a wait that is drawn
 RETRY_MOST = 30.0  # s: told to come back later than that, one comes then
+ANSWER_WITHIN = 3.0  # s for a stream to begin: a relay that is stopped takes connections and says nothing
+HUNG = 4  # failures that one counts as which said nothing: it is left alone longer than one that refuses
 SILENT = 6.0  # s without a byte, after which a stream is given up: something comes each second or two
 LINE_WITHIN = 60.0  # s without a whole line, after which a slow stream is given up
 STEADY = 10.0  # s that a stream lasts after which earlier failures there count no more
-HOME_AFTER = (
-    20.0,
-    60.0,
-)  # s, drawn, at another zone's relay until one's own zone is tried again: the ramp back
-BEHIND_MOST = (
-    10.0  # s at a relay that is behind what is known here, or that has lost the source, until one moves
-)
+HOME_AFTER = (20.0, 60.0)  # s, drawn, at another zone's relay until one's own is tried again: the ramp back
+HOME_DOUBLES = 4  # times that this wait doubles while no relay of one's own zone can be reached
+BEHIND_MOST = 10.0  # s at a relay that is behind what is known here, or has lost the source, until one moves
+BEHIND_DOUBLES = 5  # times that this wait doubles while others are so too: the source is gone
 ASK_AGAIN = 3.0  # s after which a topic that was asked for whole, and did not come, is asked for again
+ASK_DOUBLES = 4  # times that this wait doubles: one that cannot be understood comes whole each time
+FAULTS_MOST = 20  # different faults of one stream that are told for the log; all are counted
 REPORT_MOST = 500  # topics of one report of what is in force
 
 
@@ -81,7 +80,9 @@
         self.byte_at = 0.0
         self.line_at = 0.0
         self.behind_since: float | None = None
+        self.behind_moves = 0  # in a row
         self.home_at = 0.0
+        self.home_moves = 0  # in a row
         self.moves = 0
 
     def dial(self, now: float) -> Dial:
@@ -108,7 +109,9 @@
         self.at = relay
         self.since = self.byte_at = self.line_at = now
         self.behind_since = None
-        self.home_at = now + self.chance.uniform(*HOME_AFTER)
+        if relay.zone == self.zone:
+            self.home_moves = 0
+        self.home_at = now + self.chance.uniform(*HOME_AFTER) * 2**self.home_moves
 
     def bytes_came(self, now: float, lines: int) -> None:
         self.byte_at = now
@@ -123,6 +126,7 @@
         """`behind`: the relay is behind what is known here, or has lost the source."""
         if not behind:
             self.behind_since = None
+            self.behind_moves = 0
         elif self.behind_since is None:
             self.behind_since = now + self.chance.random() * BEHIND_MOST
 
@@ -131,7 +135,8 @@
         when it is time to try one of its own zone."""
         if self.at is None or len(self.relays) == 1:
             return False
-        if self.behind_since is not None and now - self.behind_since >= BEHIND_MOST:
+        behind = BEHIND_MOST * 2**self.behind_moves
+        if self.behind_since is not None and now - self.behind_since >= behind:
             return True
         return (
             self.at.zone != self.zone
@@ -140,15 +145,20 @@
         )
 
     def left(self, now: float) -> None:
-        """After `leave`: the one left for being behind is tried again later than others."""
+        """After `leave`: one left for being behind is tried again later than others."""
         if self.at is not None and self.behind_since is not None:
-            self.failed(self.at, now)
+            self.behind_moves = min(self.behind_moves + 1, BEHIND_DOUBLES)
+            self.tried[self.at.address].not_before = now + BACKOFF_MOST * (1.0 + self.chance.random())
+        else:
+            self.home_moves = min(self.home_moves + 1, HOME_DOUBLES)
 
-    def failed(self, relay: RelayAt, now: float) -> None:
-        """It could not be reached, answered nonsense, broke or fell silent."""
+    def failed(self, relay: RelayAt, now: float, hung: bool = False) -> None:
+        """It could not be reached, answered nonsense or broke; `hung`: it said nothing for too long."""
         tried = self.tried[relay.address]
         if self.at == relay and now - self.since >= STEADY:
             tried.failures = 0
+        if hung:
+            tried.failures = max(tried.failures, HUNG)
         wait = min(BACKOFF_MOST, BACKOFF * 2**tried.failures)
         tried.failures = min(tried.failures + 1, 10)
         tried.not_before = now + wait * (1.0 - JITTER * self.chance.random())
@@ -196,6 +206,7 @@
     """What a line came to."""
 
     news: list[News] = field(default_factory=list)
+    touched: list[str] = field(default_factory=list)  # topics that changed or have a gap: for a board
     faults: list[str] = field(default_factory=list)  # each for one line of the log
     behind: bool = False  # whether its sender is behind what is known here, or has lost the source
 
@@ -207,7 +218,8 @@
         self.topics = topics
         self.read = read
         self.counts = Counts()
-        self.asked_at: dict[str, float] = {}  # topics asked for whole, and when
+        self.asked_at: dict[str, tuple[float, int]] = {}  # topics asked for whole: when last, how often
+        self.faults: set[str] = set()  # of this stream, that were told
 
     def line(self, line: bytes, wall: float) -> Heard:
         """Never raises: what is not understood is dropped and counted."""
@@ -217,22 +229,32 @@
             message = messages.told(line, wall)
         except NotUnderstood as fault:
             counts.not_understood += 1
-            heard.faults.append(str(fault))
+            self.fault(heard, str(fault))
+            return heard
+        heard.behind = message.as_of < self.topics.seen
+        if not self.topics.heard(message.as_of, more=True):
+            counts.lower_epoch += 1
+            self.fault(heard, "epoch lower than one known")
             return heard
         if isinstance(message, Alive):
-            heard.behind = message.stale >= BEHIND_MOST
+            heard.behind = heard.behind or message.stale >= BEHIND_MOST
         else:
-            counts.not_understood += len(message.faults)
-            heard.faults += message.faults
+            for name, why in message.faults:
+                counts.not_understood += 1
+                self.fault(heard, why)
+                if self.topics.lost(name):
+                    heard.touched.append(name)
             for told in message.topics:
                 self.take(told, message.as_of, heard)
-        if message.as_of < self.topics.seen:
-            heard.behind = True
-        if not self.topics.heard(message.as_of, message.more or bool(heard.faults)):
-            heard.faults.append("epoch lower than one known")
-            counts.lower_epoch += 1
+        self.topics.heard(message.as_of, message.more)
         return heard
 
+    def fault(self, heard: Heard, why: str) -> None:
+        """Each is told once a stream."""
+        if why not in self.faults and len(self.faults) < FAULTS_MOST:
+            self.faults.add(why)
+            heard.faults.append(why)
+
     def take(self, told: Any, as_of: Version, heard: Heard) -> None:
         counts = self.counts
         match self.topics.apply(told, as_of):
@@ -241,15 +263,17 @@
                 counts.changes += not told.whole
                 self.asked_at.pop(told.topic, None)
                 heard.news.append(self.news(told))
+                heard.touched.append(told.topic)
             case Applied.OLD:
                 counts.old += 1
             case Applied.GAP:
                 counts.gaps += 1
+                heard.touched.append(told.topic)
             case Applied.UNASKED:
                 counts.unasked += 1
-                heard.faults.append("topic that was not asked for")
+                self.fault(heard, "topic that was not asked for")
             case Applied.LOWER_EPOCH:
-                pass  # the line as a whole is counted
+                counts.lower_epoch += 1  # not reached: such a line is dropped whole
 
     def news(self, told: Any) -> News:
         entries: dict[str, Any | None] = {}
@@ -261,15 +285,22 @@
 
     def to_ask(self, now: float) -> dict[str, Version]:
         """Topics to ask for whole now, on the stream there is; each again after a while, not at once."""
-        due = [name for name in self.topics.gaps if now - self.asked_at.get(name, -ASK_AGAIN) >= ASK_AGAIN]
-        self.asked_at = {name: at for name, at in self.asked_at.items() if name in self.topics.gaps}
-        for name in due:
-            self.asked_at[name] = now
-        return dict.fromkeys(due, NONE)
+        if not self.topics.gaps:
+            return {}
+        asked, self.asked_at = self.asked_at, {}
+        due = {}
+        for name in self.topics.gaps:
+            last, times = asked.get(name, (now, 0))
+            if times == 0 or now - last >= ASK_AGAIN * 2 ** min(times - 1, ASK_DOUBLES):
+                due[name] = NONE
+                last, times = now, times + 1
+            self.asked_at[name] = last, times
+        return due
 
     def asked(self, now: float) -> None:
         """A new stream was begun with what is held: all gaps are asked for by that."""
-        self.asked_at = dict.fromkeys(self.topics.gaps, now)
+        self.asked_at = dict.fromkeys(self.topics.gaps, (now, 1))
+        self.faults.clear()
 
 
 class Reports:
--- a/gullmount/relays/messages.py
+++ b/gullmount/relays/messages.py
@@ -24,9 +24,9 @@
 CHANGES_MOST = 20_000  # of one call: a region lost is 14,000
 ZONES_MOST = 200  # of a relay's report: 31 zones
 REVISION_MOST = 2**53  # beyond, numbers of JSON are no longer exact everywhere
-EPOCH_AHEAD = 86_400_000  # ms that an epoch may be ahead of the wall clock here: clocks that are a day apart
+EPOCH_AHEAD = 3_600_000  # ms that an epoch may be ahead of the wall clock here: clocks that are an hour apart
 REVISIONS_MS = 1  # revisions a source may count in each ms of its life; 11 a second are planned for
-REVISIONS_BURST = 10_000_000  # beyond that, for clocks that differ; a day's changes are some 130,000
+REVISIONS_BURST = 1_000_000  # beyond that, for clocks that differ; a day's changes are some 130,000
 KINDS = ("boxes", "config")
 
 Kind = TypeVar("Kind")
@@ -39,7 +39,7 @@
     as_of: Version
     more: bool
     topics: list[TopicTold]
-    faults: list[str]  # topics left out as not understood: why
+    faults: list[tuple[str, str]]  # topics left out as not understood, as far as they can be read, and why
 
 
 @dataclass(frozen=True)
@@ -101,6 +101,10 @@
     topics: list[msgspec.Raw] = []
 
 
+class Named(msgspec.Struct):
+    topic: str
+
+
 class Whose(msgspec.Struct):
     v: int
 
@@ -236,15 +240,22 @@
     if head.kind != "told":
         raise NotUnderstood("kind: no such")
     topics: list[TopicTold] = []
-    faults: list[str] = []
+    faults: list[tuple[str, str]] = []
     for raw in head.topics:
         try:
             topics.append(topic_told(raw, head.as_of, wall))
         except NotUnderstood as fault:
-            faults.append(str(fault))
+            faults.append((name_of(raw), str(fault)))
     return Told(head.as_of, head.more, topics, faults)
 
 
+def name_of(raw: msgspec.Raw) -> str:
+    try:
+        return parsed(raw, Named).topic
+    except NotUnderstood:
+        return ""
+
+
 def topic_told(raw: msgspec.Raw, as_of: Version, wall: float) -> TopicTold:
     one = parsed(raw, TopicTold)
     sound_topic(one.topic)
--- a/gullmount/relays/sums.py
+++ b/gullmount/relays/sums.py
@@ -13,9 +13,7 @@
 
 NAMES_MOST = 20  # followers named in one list; beyond, they are counted only
 WHY_MOST = 100  # characters of a reason: for a person to read, never a body
-REPORT_GRACE = (
-    5.0  # s without a word from a relay after which its sum counts no more: its followers are at others
-)
+REPORT_GRACE = 5.0  # s without a word from a relay until its sum counts no more: its followers are elsewhere
 
 
 class Unable(msgspec.Struct, frozen=True, array_like=True):
--- a/gullmount/relays/topics.py
+++ b/gullmount/relays/topics.py
@@ -125,9 +125,11 @@
     def __init__(self, asked: Iterable[str] | None = None, epoch: int = 0) -> None:
         self.asked: set[str] | None = None if asked is None else set(asked)
         self.held: dict[str, Topic] = {}
-        self.as_of = Version(epoch, 0) if epoch else NONE  # up to which all held topics are complete
+        # up to which all held topics are complete, but for gaps
+        self.as_of = Version(epoch, 0) if epoch else NONE
         self.seen = self.as_of  # the newest that was heard of
-        self.gaps: dict[str, None] = {}  # topics that must be asked for whole
+        # topics that must be asked for whole, and up to when they were complete
+        self.gaps: dict[str, Version] = {}
         self.encoded: dict[tuple[str, Version, Version, bool], bytes] = {}
         self.encoded_size = 0
 
@@ -171,28 +173,35 @@
             return Applied.LOWER_EPOCH
         topic = self.held.get(name)
         held = NONE if topic is None else topic.version
-        if told.version <= held:
+        if told.version < held or (told.version == held and not (told.whole and name in self.gaps)):
             return Applied.OLD
         if not told.whole and (
             topic is None or told.version.epoch != held.epoch or told.base > held.revision
         ):
-            self.gaps[name] = None
+            self.lost(name)
             return Applied.GAP
         if topic is None and as_of < self.as_of:
             self.as_of = as_of  # not complete beyond it: this topic was not followed before
+        complete = self.gaps.pop(name, self.as_of)
         if told.whole:
-            topic = self.replaced(told, topic)
+            self.held[name] = self.replaced(told, topic, complete)
         else:
             assert topic is not None
-            topic.steps.append((held, self.as_of))
+            topic.steps.append((held, complete))
             for key, raw in told.entries.items():
                 value = bytes(raw)
                 topic.put(key, None if value == NULL else value, told.version.revision)
             topic.version = told.version
-        self.gaps.pop(name, None)
         return Applied.NEW
 
-    def replaced(self, told: TopicTold, before: Topic | None) -> Topic:
+    def lost(self, name: str) -> bool:
+        """News of the topic did not get here: it is to be asked for whole, and is complete no longer."""
+        if self.asked is None or name not in self.asked:
+            return False
+        self.gaps.setdefault(name, self.as_of)
+        return True
+
+    def replaced(self, told: TopicTold, before: Topic | None, complete: Version) -> Topic:
         topic = Topic(told.version)
         changed = told.changed
         if changed is None:
@@ -207,8 +216,7 @@
                 topic.put(key, None if value == NULL else value, revision)
         if before is not None:
             topic.steps.extend(before.steps)
-            topic.steps.append((before.version, self.as_of))
-        self.held[told.topic] = topic
+            topic.steps.append((before.version, complete))
         return topic
 
     def heard(self, as_of: Version, more: bool) -> bool:
@@ -217,7 +225,7 @@
         if as_of.epoch < self.epoch:
             return False
         self.seen = max(self.seen, as_of)
-        if not more and not self.gaps:
+        if not more:
             self.as_of = max(self.as_of, as_of)
         return True
 
