--- a/gullmount/relays/board.py
+++ b/gullmount/relays/board.py
@@ -34,7 +34,7 @@
 
     def room(self, now: float) -> int:
         """Bytes that may be told now."""
-        while self.sent and self.sent[0][0] <= now - 1.0:
+        while self.sent and self.sent[0][0] + 1.0 <= now:
             self.sum -= self.sent.popleft()[1]
         return self.rate - self.sum
 
@@ -73,9 +73,7 @@
         self.gone_at: float | None = None
         self.told: dict[str, Version] = {}
         self.in_force: dict[str, Version] = {}
-        self.before: dict[
-            str, Version
-        ] = {}  # as of when it said, joining, that what it has was all there was
+        self.before: dict[str, Version] = {}  # as of when, it said joining, what it has was all there was
         self.dirty: tuple[dict[str, None], dict[str, None]] = {}, {}  # configuration; boxes. Each in its turn
         self.turn = 0  # which of the two is told next
         self.pending: dict[str, None] = {}  # topics whose newest version is not in force there
@@ -384,11 +382,16 @@
         return lowest
 
     def reached(self, follower: Follower, topic: str) -> Version:
+        """Up to which version all of a pending topic is in force."""
         version = follower.in_force[topic]
         held = self.topics.held.get(topic)
-        reached = version if held is None else held.covered(version)
-        reached = max(reached, follower.before.get(topic, NONE))
-        return min(reached, self.topics.gaps.get(topic, reached))
+        gap = self.topics.gaps.get(topic)
+        if held is not None and version < held.version:
+            version = held.covered(version)
+        elif held is not None and gap is not None:
+            version = gap
+        version = max(version, follower.before.get(topic, NONE))
+        return version if gap is None else min(version, gap)
 
     def summary(self) -> dict[str, InForce]:
         """By zone. Looks at those with something pending, refused or gone only."""
--- a/gullmount/relays/following.py
+++ b/gullmount/relays/following.py
@@ -87,7 +87,8 @@
 
     def dial(self, now: float) -> Dial:
         """Whom next: of its own zone, drawn; then of the others; where all are to be left alone for a while,
-        the one that is first to be tried again."""
+        the one that is first to be tried again. Goes by what is known now: one that has just failed is not
+        tried at once though the spread would let it."""
         spread = MOVE_SPREAD if self.started else START_SPREAD
         at = now + self.chance.random() * spread
         self.started = True
@@ -95,7 +96,7 @@
             free = [
                 relay
                 for relay in self.relays
-                if (relay.zone == self.zone) is own and self.tried[relay.address].not_before <= at
+                if (relay.zone == self.zone) is own and self.tried[relay.address].not_before <= now
             ]
             if free:
                 return Dial(self.chance.choice(free), at)
