--- a/tests/test_relay_core.py
+++ b/tests/test_relay_core.py
@@ -480,15 +480,14 @@
             passing = f"passing-{chance.randrange(40)}"
             scene.change((name, "k", step % 10), (name, passing, chance.choice([None, 1])))
 
-    churn(5_000)  # to what is bounded: keys, tombstones
-    gc.collect()
-    tracemalloc.start()
-    before = tracemalloc.get_traced_memory()[0]
-    churn(10_000)
-    gc.collect()
-    grown = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.start()  # before the first, as each change replaces what was there
+    held = []
+    for _ in range(2):
+        churn(15_000)  # the first time to what is bounded: keys, tombstones
+        gc.collect()
+        held.append(tracemalloc.get_traced_memory()[0])
     tracemalloc.stop()
-    assert grown < 200_000, f"{grown} bytes more after 10,000 changes"
+    assert held[1] - held[0] < 20_000, f"{held} bytes after 15,000 and 30,000 changes"
     for follower in scene.board.followers.values():
         assert sum(map(len, follower.dirty)) <= 40 and len(follower.pending) <= 40
 
