--- a/gullmount/calls/server.py
+++ b/gullmount/calls/server.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import anyio
 import h11
@@ -103,13 +103,14 @@
             out += conn.send(h11.Data(data=said.body)) or b""
         await stream.send(out + (conn.send(h11.EndOfMessage()) or b""))
         return conn.our_state is h11.DONE and conn.their_state is h11.DONE
-    await stream.send(out)
     try:
+        await stream.send(out)
         async for line in said.lines:
             await stream.send(conn.send(h11.Data(data=line)) or b"")
     finally:  # at once, also where the other side is gone: whoever tells must not go on
-        if isinstance(said.lines, AsyncGenerator):
+        close = getattr(said.lines, "aclose", None)
+        if close is not None:
             with anyio.CancelScope(shield=True):
-                await said.lines.aclose()
+                await close()
     await stream.send(conn.send(h11.EndOfMessage()) or b"")
     return False
--- /dev/null
+++ b/gullmount/relays/streams.py
@@ -0,0 +1,110 @@
+"""Streams with a bound on how long the other side may take, and with their bytes counted."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+import anyio
+from anyio.abc import SocketAttribute
+
+from gullmount.net import Datagrams, Stream, Streams
+from gullmount.relays.following import Counts
+
+PIECE = 65536  # bytes handed to the network at once: each has its own time to be taken
+WRITE_WITHIN = 10.0  # s in which the network takes a piece; one who reads a byte a second is ended then
+READ_WITHIN = 60.0  # s without a byte, after which a connection that asks for nothing is ended
+KERNEL_HOLDS = 65536  # bytes that the machine keeps for a follower: what waits there grows old
+
+
+class Wrapped(Stream):
+    """A stream with another's end."""
+
+    def __init__(self, inner: Stream) -> None:
+        self.inner = inner
+        self.source = getattr(inner, "source", None)  # of a stream in memory
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        return await self.inner.receive(max_bytes)
+
+    async def send(self, item: bytes) -> None:
+        await self.inner.send(item)
+
+    async def send_eof(self) -> None:
+        await self.inner.send_eof()
+
+    async def aclose(self) -> None:
+        await self.inner.aclose()
+
+    @property
+    def extra_attributes(self) -> Mapping[Any, Callable[[], Any]]:
+        return self.inner.extra_attributes
+
+
+class Paced(Wrapped):
+    """A stream that breaks where the other side takes nothing, or says nothing, for too long."""
+
+    def __init__(self, inner: Stream, stalled: Callable[[], None]) -> None:
+        super().__init__(inner)
+        self.stalled = stalled
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        try:
+            with anyio.fail_after(READ_WITHIN):
+                return await self.inner.receive(max_bytes)
+        except TimeoutError:
+            raise anyio.BrokenResourceError from None
+
+    async def send(self, item: bytes) -> None:
+        view = memoryview(item)
+        for start in range(0, len(item), PIECE):
+            try:
+                with anyio.fail_after(WRITE_WITHIN):
+                    await self.inner.send(bytes(view[start : start + PIECE]))
+            except TimeoutError:
+                self.stalled()
+                raise anyio.BrokenResourceError from None
+
+
+def hold_little(stream: Stream) -> None:
+    """Let the machine keep few bytes of this stream that the other side has not read."""
+    try:
+        raw = stream.extra(SocketAttribute.raw_socket)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_HOLDS)
+    except (anyio.TypedAttributeLookupError, OSError):
+        pass  # in memory, or gone already
+
+
+class Counted(Wrapped):
+    def __init__(self, inner: Stream, counts: Counts) -> None:
+        super().__init__(inner)
+        self.counts = counts
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        data = await self.inner.receive(max_bytes)
+        self.counts.bytes_in += len(data)
+        return data
+
+    async def send(self, item: bytes) -> None:
+        self.counts.bytes_out += len(item)
+        await self.inner.send(item)
+
+
+class CountedNet:
+    """Connections whose bytes are counted; lives as long as its follower."""
+
+    def __init__(self, net: Streams, counts: Counts) -> None:
+        self.net = net
+        self.counts = counts
+
+    async def connect(self, address: str) -> Stream:
+        return Counted(await self.net.connect(address), self.counts)
+
+    async def serve(
+        self, address: str, handler: Callable[[Stream], Awaitable[Any]], started: anyio.Event | None = None
+    ) -> None:
+        await self.net.serve(address, handler, started)
+
+    async def datagrams(self, address: str) -> Datagrams:
+        return await self.net.datagrams(address)
