Commands gullmount relay FILE and gullmount source FILE

Need: a source and relays as processes of their own. On SIGTERM all streams end at once, so that followers move.

--- a/gullmount/cli.py
+++ b/gullmount/cli.py
@@ -15,7 +15,9 @@
     "day": ("days", "day"),
     "group": ("grouping", "group"),
     "keeper": ("keeping", "keeper"),
+    "relay": ("relaying", "relay"),
     "rig": ("rigs", "rig"),
+    "source": ("relaying", "source"),
     "umpire": ("serving", "umpire"),
 }
 
@@ -45,5 +47,7 @@
     gullmount check umpire.yaml                          says what is wrong with a file
     gullmount umpire umpire.yaml                         runs one umpire
     gullmount keeper keeper-1.yaml                       runs one keeper of registers
+    gullmount source source.yaml                         runs the source of news
+    gullmount relay relay-a.yaml                         runs one relay of its news
     gullmount rig run days/failures/owner-killed.yaml    plays faults among many processes
     """
--- /dev/null
+++ b/gullmount/commands/relaying.py
@@ -0,0 +1,68 @@
+"""A source or a relay as a process."""
+
+from __future__ import annotations
+
+import signal
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import anyio
+import click
+
+from gullmount.commands.files import Path_, loaded
+from gullmount.commands.starting import logger, started
+from gullmount.net import TcpNet
+from gullmount.relays.kept import Damaged, FileKept
+from gullmount.relays.relay import Relay
+from gullmount.relays.source import Source
+from gullmount.relays.terms import RelayTerms, SourceTerms
+
+
+@click.command()
+@click.argument("file", type=Path_)
+def relay(file: Path) -> None:
+    """Run the relay that FILE describes, until SIGTERM or SIGINT; logs go to standard error as JSON lines.
+
+    On the signal it ends all streams at once: its followers go on at other relays with what they have.
+    """
+    terms = loaded(file, RelayTerms)
+    started(file, run_relay, terms, logger(relay=terms.name))
+
+
+@click.command()
+@click.argument("file", type=Path_)
+def source(file: Path) -> None:
+    """Run the source that FILE describes, until SIGTERM or SIGINT; logs go to standard error as JSON lines.
+
+    Changes are told to it by POST /v1/changes; GET /v1/in-force says what is in force where.
+    """
+    terms = loaded(file, SourceTerms)
+    started(file, run_source, terms, logger(source=terms.listen), ends=Damaged)
+
+
+async def run_relay(terms: RelayTerms, log: Any) -> None:
+    made = Relay(terms, net=TcpNet(terms.connect_from), chance=Random(), log=log)
+    await until_signal(made.run, log)
+
+
+async def run_source(terms: SourceTerms, log: Any) -> None:
+    kept = FileKept(Path(terms.kept), terms.remembered)
+    await until_signal(Source(terms, net=TcpNet(), kept=kept, log=log).run, log)
+
+
+async def until_signal(run: Any, log: Any) -> None:
+    async with anyio.create_task_group() as tasks:
+
+        async def say() -> None:
+            await listening.wait()
+            log("listening")
+
+        listening = anyio.Event()
+        tasks.start_soon(run, listening)
+        tasks.start_soon(say)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                log("stopping")
+                tasks.cancel_scope.cancel()
+                return
