--- a/gullmount/relays/board.py
+++ b/gullmount/relays/board.py
@@ -61,8 +61,8 @@
     """What is held of one. Lives from its first stream until a grace after its last."""
 
     __slots__ = (
-        "before", "dirty", "gone_at", "history", "in_force", "name", "pending", "session", "told", "turn",
-        "unable", "unheard", "zone",
+        "before", "dirty", "first", "gone_at", "history", "in_force", "name", "pending", "session", "told",
+        "turn", "unable", "unheard", "zone",
     )  # fmt: skip
 
     def __init__(self, name: str, zone: str, session: int, history: bool) -> None:
@@ -74,6 +74,7 @@
         self.told: dict[str, Version] = {}
         self.in_force: dict[str, Version] = {}
         self.before: dict[str, Version] = {}  # as of when, it said joining, what it has was all there was
+        self.first: dict[str, Version] = {}  # told first of topics of which nothing is known to be in force
         self.dirty: tuple[dict[str, None], dict[str, None]] = {}, {}  # configuration; boxes. Each in its turn
         self.turn = 0  # which of the two is told next
         self.pending: dict[str, None] = {}  # topics whose newest version is not in force there
@@ -83,6 +84,10 @@
     def follows(self, topic: str) -> bool:
         return topic in self.told
 
+    def lacks(self, topic: str) -> bool:
+        """Whether it never had the topic."""
+        return topic not in self.first and self.in_force[topic] == NONE
+
     def waits(self) -> bool:
         """Whether there is something to tell it."""
         return bool(self.dirty[0] or self.dirty[1])
@@ -94,7 +99,7 @@
         for dirty in self.dirty:
             dirty.pop(topic, None)
 
-    def first(self) -> str | None:
+    def next_topic(self) -> str | None:
         """Configuration and boxes take turns, configuration first: it has 10 s to be in force everywhere, and
         must not wait for the boxes of a lost zone; nor may many configurations hold up the boxes."""
         for dirty in (self.dirty[self.turn], self.dirty[1 - self.turn]):
@@ -264,8 +269,10 @@
             del self.by_zone[follower.zone]
 
     def unfollow(self, follower: Follower, topic: str, now: float) -> None:
-        for kept in (follower.told, follower.in_force, follower.before, follower.pending, follower.unable):
+        for kept in (follower.told, follower.in_force, follower.before, follower.first):
             kept.pop(topic, None)
+        follower.pending.pop(topic, None)
+        follower.unable.pop(topic, None)
         follower.unheard.discard(topic)
         follower.unmark(topic)
         others = self.by_topic[topic]
@@ -276,15 +283,20 @@
 
     # What is told
 
-    def changed(self, topic: str) -> list[str]:
-        """A topic has a new version, or a gap: the followers for whom there is something to tell now."""
-        waiting = []
-        for follower in self.by_topic.get(topic, {}).values():
-            self.look(follower, topic)
-            self.settle(follower)
-            if follower.waits():
-                waiting.append(follower.name)
-        return waiting
+    def changed(self, *topics: str) -> list[str]:
+        """Topics have new versions, or gaps: the followers for whom there is something to tell now.
+
+        All of one change or message at once, before anything more is told: a line says that up to its `as_of`
+        all is told, which holds only once all that changed is marked.
+        """
+        waiting: dict[str, None] = {}
+        for topic in topics:
+            for follower in self.by_topic.get(topic, {}).values():
+                self.look(follower, topic)
+                self.settle(follower)
+                if follower.waits():
+                    waiting[follower.name] = None
+        return list(waiting)
 
     def next_batch(self, name: str, session: int, most_bytes: int) -> Batch | None:
         """The newest of each topic that waits, each in its turn, as many as fit and one at least; None if
@@ -294,7 +306,7 @@
             return None
         parts: list[bytes] = []
         size = FRAME
-        while (topic := follower.first()) is not None:
+        while (topic := follower.next_topic()) is not None:
             part = self.topics.told(topic, follower.told[topic], follower.history)
             size += len(part) + 1
             if parts and size > most_bytes:
@@ -303,6 +315,8 @@
             follower.turn = 1 if topic in follower.dirty[0] else 0
             follower.unmark(topic)
             follower.told[topic] = self.topics.version(topic)
+            if follower.in_force[topic] == NONE:
+                follower.first.setdefault(topic, follower.told[topic])
         if not parts:
             return None
         line = b"".join((self.head(b"told", follower), b',"topics":[', b",".join(parts), b"]}\n"))
@@ -325,7 +339,7 @@
     def next_size(self, name: str, session: int) -> int:
         """Bytes of the smallest next batch; 0 if nothing waits."""
         follower = self.current(name, session)
-        topic = follower.first() if follower is not None else None
+        topic = follower.next_topic() if follower is not None else None
         if follower is None or topic is None:
             return 0
         return FRAME + len(self.topics.told(topic, follower.told[topic], follower.history))
@@ -347,6 +361,7 @@
             if follower.follows(topic) and version > follower.in_force[topic]:
                 follower.in_force[topic] = version
                 follower.before.pop(topic, None)
+                follower.first.pop(topic, None)
                 if topic in follower.unable and follower.unable[topic][0] <= version:
                     del follower.unable[topic]
                 self.look(follower, topic)
@@ -374,16 +389,16 @@
 
     def watermark(self, follower: Follower, used: bool) -> Version:
         """The highest version up to which nothing that it follows is still to be applied; `used`: what it
-        refused is not taken as done."""
+        refused is not taken as done. Topics that it never had are left out: it serves nothing by them yet."""
         lowest = self.topics.as_of
         for topic in follower.pending:
-            if used or not self.refused(follower, topic):
+            if not follower.lacks(topic) and (used or not self.refused(follower, topic)):
                 lowest = min(lowest, self.reached(follower, topic))
         return lowest
 
     def reached(self, follower: Follower, topic: str) -> Version:
         """Up to which version all of a pending topic is in force."""
-        version = follower.in_force[topic]
+        version = follower.first.get(topic, follower.in_force[topic])
         held = self.topics.held.get(topic)
         gap = self.topics.gaps.get(topic)
         if held is not None and version < held.version:
@@ -415,13 +430,12 @@
                 unable += 1
             for topic, (version, why) in follower.unable.items():
                 named.append(Unable(follower.name, topic, version, why))
-            if any(follower.in_force[topic] == NONE for topic in follower.pending):  # not all heard once
-                starting += 1
-                continue
             mark = self.watermark(follower, used=False)
             lowest = min(lowest, mark)
             lowest_used = min(lowest_used, self.watermark(follower, used=True))
-            if len(refused) < len(follower.pending):
+            if any(follower.lacks(topic) for topic in follower.pending):
+                starting += 1
+            elif len(refused) < len(follower.pending):
                 behind.append((follower.name, mark))
         running = count - starting
         return InForce(
--- a/gullmount/relays/following.py
+++ b/gullmount/relays/following.py
@@ -285,12 +285,12 @@
         return News(told.topic, told.version, told.whole, entries)
 
     def to_ask(self, now: float) -> dict[str, Version]:
-        """Topics to ask for whole now, on the stream there is; each again after a while, not at once."""
-        if not self.topics.gaps:
-            return {}
+        """Topics to ask for whole now, on the stream there is: those with a gap, and those that were not
+        heard of yet; each again after a while, not at once."""
+        wanted = {*self.topics.gaps, *self.topics.unheard()}
         asked, self.asked_at = self.asked_at, {}
         due = {}
-        for name in self.topics.gaps:
+        for name in sorted(wanted):
             last, times = asked.get(name, (now, 0))
             if times == 0 or now - last >= ASK_AGAIN * 2 ** min(times - 1, ASK_DOUBLES):
                 due[name] = NONE
@@ -299,8 +299,8 @@
         return due
 
     def asked(self, now: float) -> None:
-        """A new stream was begun with what is held: all gaps are asked for by that."""
-        self.asked_at = dict.fromkeys(self.topics.gaps, (now, 1))
+        """A new stream was begun with what is held: all that is missing is asked for by that."""
+        self.asked_at = dict.fromkeys((*self.topics.gaps, *self.topics.unheard()), (now, 1))
         self.faults.clear()
 
 
--- a/gullmount/relays/sums.py
+++ b/gullmount/relays/sums.py
@@ -37,7 +37,7 @@
     behind: int = 0  # of these, to which something is still to come or to be applied that they did not refuse
     unable: int = 0  # of these, that refused the newest version of a topic
     gone: int = 0  # of these, whose stream has ended
-    lowest: Version | None = None  # in force at all but the starting ones; what was refused counts as done
+    lowest: Version | None = None  # in force at all that had their topics once; refused counts as done
     lowest_used: Version | None = None  # the same, with what was refused as not in force
     behind_names: tuple[tuple[str, Version], ...] = ()  # the lowest first, with what is in force there
     unable_names: tuple[Unable, ...] = ()
--- a/gullmount/relays/topics.py
+++ b/gullmount/relays/topics.py
@@ -160,7 +160,10 @@
         return {name: NONE if name in self.gaps else self.version(name) for name in sorted(self.asked or ())}
 
     def unheard(self) -> set[str]:
-        return (self.asked or set()) - self.held.keys()
+        """Topics asked for of which nothing was told yet."""
+        if self.asked is None or len(self.asked) == len(self.held):
+            return set()
+        return self.asked - self.held.keys()
 
     # What is told here
 
