An umpire's file section relays: boxes and routes told by relays; bytes a second paced

Need: an umpire that starts with the configuration in force, without a roster; off by default, its module not loaded then. Streams get a time for their first word, one whose silence ended it counts as hung; all topics of one line are marked in one call.

--- a/gullmount/calls/__init__.py
+++ b/gullmount/calls/__init__.py
@@ -3,7 +3,7 @@
 What they say stands in docs/protocols.md; nothing here knows umpires, boxes or builds.
 """
 
-from gullmount.calls.client import KeptCalls, Refused, Unreached, call, open_call, watch_lines
+from gullmount.calls.client import KeptCalls, Refused, Silent, Unreached, call, open_call, watch_lines
 from gullmount.calls.messages import VERSION, Fields, NotUnderstood, check, chosen, decode, typed
 from gullmount.calls.server import Asked, Said, read_event, serve
 
@@ -15,6 +15,7 @@
     "NotUnderstood",
     "Refused",
     "Said",
+    "Silent",
     "Unreached",
     "call",
     "check",
--- a/gullmount/calls/client.py
+++ b/gullmount/calls/client.py
@@ -31,6 +31,13 @@
     """Nothing was sent: there was no connection."""
 
 
+class Silent(Refused):
+    """It said nothing for too long."""
+
+    def __init__(self) -> None:
+        super().__init__("silent")
+
+
 async def call(net: Streams, address: str, method: str, target: str, body: bytes = b"") -> tuple[int, bytes]:
     """One small call on a connection of its own. Raises Refused."""
     return await whole(open_call(net, address, method, target, body))
@@ -177,27 +184,32 @@
     silent: float = SILENT,
     line_most: int = LINE_MOST,
     line_within: float = inf,
+    answer_within: float = inf,
 ) -> AsyncGenerator[bytes, None]:
     """The lines of a watch, which never ends by itself in peace: raises Refused. With a body it is a POST. It
-    is given up after `silent` seconds without a byte, and where a line that has begun is not whole within
-    `line_within` seconds. What is left of a line at the end is nobody's."""
+    is given up after `silent` seconds without a byte, where a line that has begun is not whole within
+    `line_within` seconds, and without a status within `answer_within` seconds. What is left of a line at the
+    end is nobody's."""
     rest, begun = b"", inf
+    until = anyio.current_time() + min(silent, answer_within)
     try:
-        with anyio.fail_after(silent):
+        with anyio.fail_after(until - anyio.current_time()):
             spoken = await connected(net, address, kept=False)
     except TimeoutError:
-        raise Refused("silent") from None
+        raise Silent from None
     parts = spoken.ask("GET" if body is None else "POST", target, body or b"")
     try:
         while True:
+            now = anyio.current_time()
             try:
-                with anyio.fail_after(min(silent, max(0.0, begun + line_within - anyio.current_time()))):
+                with anyio.fail_after(max(0.0, min(until, now + silent, begun + line_within) - now)):
                     part = await anext(parts)
             except StopAsyncIteration:
                 raise Refused("ended") from None
             if isinstance(part, int):
                 if part != 200:  # noqa: PLR2004 (HTTP: ok)
                     raise Refused(f"status {part}", part, spoken.retry_after)
+                until = inf
                 continue
             *lines, rest = (rest + part).split(b"\n")
             if len(rest) > line_most or any(len(line) > line_most for line in lines):
@@ -208,7 +220,7 @@
                 if line:
                     yield line
     except TimeoutError:
-        raise Refused("silent") from None
+        raise Silent from None
     finally:
         with anyio.CancelScope(shield=True):
             await parts.aclose()
--- a/gullmount/commands/serving.py
+++ b/gullmount/commands/serving.py
@@ -15,15 +15,20 @@
 from gullmount.commands.starting import logger, started
 from gullmount.net import TcpNet
 from gullmount.ownership.terms import OwnedUmpireTerms
+from gullmount.relays.terms import RelayedUmpireTerms
 from gullmount.umpire import FileMemory, RunningUmpire
 
 
+class UmpireFile(OwnedUmpireTerms, RelayedUmpireTerms):
+    """All that an umpire's file may hold. The sections may stand beside each other."""
+
+
 @click.command("check")
 @click.argument("file", type=Path_)
 @click.option("--json", "as_json", is_flag=True, help="Say it as JSON.")
 def check_file(file: Path, as_json: bool) -> None:
     """Validate an umpire's FILE without starting it. Exit code 2 if it is no good."""
-    terms = loaded(file, OwnedUmpireTerms)
+    terms = loaded(file, UmpireFile)
     if as_json:
         click.echo(terms.model_dump_json(indent=1))
     else:
@@ -45,23 +50,31 @@
 ) -> None:
     """The same, by clocks of the caller's: the one that leases go by, unless it is the machine's, and the
     wall's."""
-    terms = loaded(file, OwnedUmpireTerms)
+    terms = loaded(file, UmpireFile)
     started(file, serve, terms, logger(umpire=terms.number), clock, wall)
 
 
 async def serve(
-    terms: OwnedUmpireTerms, log: Any, clock: Callable[[], float] | None, wall: Callable[[], float]
+    terms: UmpireFile, log: Any, clock: Callable[[], float] | None, wall: Callable[[], float]
 ) -> None:
     memory = FileMemory(Path(terms.remembered)) if terms.remembered else None
-    given: dict[str, Any] = {"net": TcpNet(terms.connect_from), "memory": memory, "log": log, "wall": wall}
-    if terms.owns:
+    net = TcpNet(terms.connect_from)
+    told = terms.without_roster() if terms.follows else terms
+    given: dict[str, Any] = {"net": net, "memory": memory, "log": log, "wall": wall}
+    if told.owns:
         from gullmount.ownership.umpire import OwningUmpire  # noqa: PLC0415 (not loaded where it is off)
 
         if clock is not None:
             given["clock"] = clock
-        made: Any = OwningUmpire(terms, **given)
+        made: Any = OwningUmpire(told, **given)
     else:
-        made = RunningUmpire(terms, **given)
+        made = RunningUmpire(told, **given)
+    if told.relays is not None and told.follows:
+        from gullmount.relays.umpire import RelayedUmpire  # noqa: PLC0415 (not loaded where it is off)
+
+        kept = FileMemory(Path(told.relays.remembered)) if told.relays.remembered else None
+        running = made if isinstance(made, RunningUmpire) else made.running
+        made = RelayedUmpire(told, made, running, net=net, memory=kept, wall=wall, log=log)
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with made as running:
             async for _ in signals:
--- a/gullmount/relays/follower.py
+++ b/gullmount/relays/follower.py
@@ -15,10 +15,11 @@
 import anyio
 import msgspec
 
-from gullmount.calls import KeptCalls, Refused, watch_lines
+from gullmount.calls import KeptCalls, Refused, Silent, watch_lines
 from gullmount.net import Streams
 from gullmount.relays import messages
 from gullmount.relays.following import (
+    ANSWER_WITHIN,
     LINE_WITHIN,
     SILENT,
     Counts,
@@ -91,7 +92,6 @@
         self.at: RelayAt | None = None  # whose stream is open
         self.heard_at = -1e9  # when a line last came
         self.to_tell = anyio.Event()
-        self.more: dict[str, Version] = {}  # topics to be asked for on the stream there is
         self.less: set[str] = set()  # topics to be told no more
         self.reading: anyio.CancelScope | None = None
         self.streams = 0  # begun so far
@@ -117,7 +117,7 @@
     async def follow(self, relay: RelayAt) -> None:
         """One stream, until it breaks or is left."""
         self.streams += 1
-        self.more, self.less = {}, set()
+        self.less = set()
         body = line(self.reports.follow(self.topics, self.history))
         self.hearing.asked(self.clock())
         with anyio.CancelScope() as self.reading:
@@ -127,7 +127,7 @@
                 if fault.status:
                     self.following.refused(relay, self.clock(), fault.retry_after)
                 else:
-                    self.following.failed(relay, self.clock())
+                    self.following.failed(relay, self.clock(), hung=isinstance(fault, Silent))
                 self.log("stream of news ended", relay=relay.address, why=str(fault))
         self.reading = None
         self.at = None
@@ -144,6 +144,7 @@
             silent=SILENT,
             line_most=LINE_MOST,
             line_within=LINE_WITHIN,
+            answer_within=ANSWER_WITHIN,
         )
         async with aclosing(watch) as lines:
             async for told in lines:
@@ -173,15 +174,9 @@
 
     # What it says
 
-    def ask_more(self, topics: Mapping[str, Version]) -> None:
-        """On the stream there is; one that is opened later asks for all of them itself."""
-        self.more.update(topics)
-        self.to_tell.set()
-
     def ask_less(self, topics: Sequence[str]) -> None:
+        """On the stream there is; one that is opened later does not ask for them."""
         self.less.update(topics)
-        for topic in topics:
-            self.more.pop(topic, None)
         self.to_tell.set()
 
     async def tell_on(self) -> None:
@@ -204,8 +199,7 @@
 
     async def tell(self, calls: KeptCalls, to: RelayAt) -> bool:
         """Whether all was said."""
-        more, less = self.more | self.hearing.to_ask(self.clock()), self.less
-        self.more, self.less = {}, set()
+        more, less, self.less = self.hearing.to_ask(self.clock()), self.less, set()
         if (more or less) and not await self.say(
             calls, to, FOLLOW, line(also(self.name, more, sorted(less)))
         ):
@@ -215,7 +209,7 @@
             if not await self.say(calls, to, IN_FORCE, line(told)):
                 return False
             self.reports.confirmed(told)
-        return not self.topics.gaps
+        return not self.topics.gaps and not self.topics.unheard()
 
     async def say(self, calls: KeptCalls, to: RelayAt, target: str, body: bytes) -> int:
         """The status; 0 for no answer."""
--- a/gullmount/relays/relay.py
+++ b/gullmount/relays/relay.py
@@ -54,6 +54,7 @@
             zones=terms.zones,
             connections=terms.connections,
             alive_every=ALIVE_EVERY,
+            rate=terms.rate,
             log=log,
             clock=clock,
             wall=wall,
@@ -104,7 +105,7 @@
     def took(self, heard: Heard) -> None:
         if self.upstream.streams >= self.ask_stream and self.topics.as_of >= self.topics.seen:
             self.tell_on("the source was asked")
-        self.changed([news.topic for news in heard.news])
+        self.changed(heard.touched)
 
     def broke(self) -> None:
         if self.upstream.streams >= self.ask_stream:
@@ -161,7 +162,7 @@
         new = [topic for topic in topics if topic not in asked]
         if new:
             self.topics.ask(new)
-            self.upstream.ask_more(dict.fromkeys(new, NONE))
+            self.upstream.to_tell.set()
 
     def forgotten(self, topics: list[str]) -> None:
         self.topics.forget(topics)
@@ -180,7 +181,7 @@
         super().__init__(
             name=relay.terms.name,
             zone=relay.terms.zone,
-            relays=[RelayAt(relay.terms.source)],
+            relays=[RelayAt(relay.terms.source, relay.terms.zone)],
             topics=relay.topics,
             net=relay.net,
             chance=chance,
--- a/gullmount/relays/serving.py
+++ b/gullmount/relays/serving.py
@@ -16,7 +16,7 @@
 from gullmount.calls.messages import VERSION
 from gullmount.net import Stream, abort, source_host
 from gullmount.relays import messages
-from gullmount.relays.board import Board, Full
+from gullmount.relays.board import Batch, Board, Full, Pace
 from gullmount.relays.follower import FOLLOW, IN_FORCE, OK, Log
 from gullmount.relays.streams import Paced, hold_little
 from gullmount.relays.topics import Version
@@ -41,6 +41,7 @@
         self.stream = stream
         self.said_at = -1e9
         self.wake = anyio.Event()
+        self.pace = None if serving.rate is None else Pace(serving.rate)
 
     def __aiter__(self) -> Telling:
         return self
@@ -51,11 +52,14 @@
         board = serving.board
         while board.current(self.name, self.session) is not None:
             await serving.may_tell()
-            batch = board.next_batch(self.name, self.session, BATCH_MOST)
             now = serving.clock()
+            batch, wait = self.batch(now)
             if batch is not None:
                 self.said_at = now
                 return batch.line
+            if wait:
+                await anyio.sleep(wait)
+                continue
             due = self.said_at + serving.alive_every  # one figure for both: a rounding apart would spin
             if now >= due:
                 alive = board.alive(self.name, self.session, serving.stale())
@@ -68,6 +72,20 @@
                 await self.wake.wait()
         raise StopAsyncIteration
 
+    def batch(self, now: float) -> tuple[Batch | None, float]:
+        """The next one, or how long it has to wait: what its rate allows no more of, in s."""
+        board, most = self.serving.board, BATCH_MOST
+        if self.pace is not None:
+            size = board.next_size(self.name, self.session)
+            at = self.pace.at(size, now) if size else now
+            if at > now:
+                return None, at - now
+            most = max(size, min(most, self.pace.room(now)))
+        batch = board.next_batch(self.name, self.session, most)
+        if batch is not None and self.pace is not None:
+            self.pace.told(len(batch.line), now)
+        return batch, 0.0
+
     async def aclose(self) -> None:
         serving = self.serving
         if serving.telling.get(self.name) is self:
@@ -88,6 +106,7 @@
         zones: Collection[str],
         connections: int,
         alive_every: float,
+        rate: int | None = None,
         log: Log,
         clock: Callable[[], float],
         wall: Callable[[], float],
@@ -96,6 +115,7 @@
         self.zones = frozenset(zones)
         self.connections = connections
         self.alive_every = alive_every
+        self.rate = rate  # bytes a second to one follower
         self.log = log
         self.clock = clock
         self.wall = wall
@@ -222,12 +242,11 @@
         return done({})
 
     def changed(self, topics: Collection[str]) -> None:
-        """They have new versions: whoever follows them is told."""
-        for topic in topics:
-            for name in self.board.changed(topic):
-                telling = self.telling.get(name)
-                if telling is not None:
-                    telling.wake.set()
+        """All topics of one change or message: whoever follows them is told."""
+        for name in self.board.changed(*topics):
+            telling = self.telling.get(name)
+            if telling is not None:
+                telling.wake.set()
 
     async def tidy(self) -> None:
         """Until cancelled."""
--- a/gullmount/relays/terms.py
+++ b/gullmount/relays/terms.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Self
+from dataclasses import replace
+from typing import Annotated, Any, Self
 
 from pydantic import Field, PositiveFloat, PositiveInt, ValidationInfo, field_validator, model_validator
 
-from gullmount.umpire.terms import Address, UmpireTerms
+from gullmount.interface import Grounds
+from gullmount.umpire.terms import Address, RosterTerms, UmpireTerms
 from gullmount.yamlfile import Described
 
+NOBODY = "127.0.0.1:1"  # the address of a roster that is never asked
 Name = Annotated[str, Field(min_length=1, max_length=100, pattern=r"^[A-Za-z0-9._-]+$")]
 
 
@@ -46,6 +49,7 @@
     connect_from: str | None = None  # the host that its connections come from, where there are several
     followers: PositiveInt = 2000  # at once; more are refused
     connections: PositiveInt = 5000  # at once; more are closed as they come
+    rate: PositiveInt | None = 6000  # bytes a second to one follower, but for a topic that is larger alone
 
     @field_validator("zone")
     @classmethod
@@ -107,6 +111,24 @@
             raise ValueError(f"at: none is named for this umpire's zone {zone!r}")
         return relays
 
+    @model_validator(mode="before")
+    @classmethod
+    def roster_not_needed(cls, data: Any) -> Any:
+        """Where relays are followed no roster is asked, whether one is named or not."""
+        if isinstance(data, dict) and isinstance(data.get("relays"), dict) and "roster" not in data:
+            told = data["relays"]
+            if told.get("switched_on") is True and isinstance(told.get("at"), list):
+                return {**data, "roster": {"address": NOBODY, "how": "ask"}}
+        return data
+
     @property
     def follows(self) -> bool:
         return self.relays is not None and self.relays.switched_on
+
+    def without_roster(self) -> Self:
+        """The same for an umpire that is told of boxes by relays: it asks no roster."""
+        return self.model_copy(update={"roster": RosterTerms(address=NOBODY, how="ask")})
+
+    def grounds(self, seed: int, restarted: bool) -> Grounds:
+        made = super().grounds(seed, restarted)
+        return replace(made, may_subscribe=False) if self.follows else made
