--- a/gullmount/relays/follower.py
+++ b/gullmount/relays/follower.py
@@ -131,7 +131,6 @@
                 self.log("stream of news ended", relay=relay.address, why=str(fault))
         self.reading = None
         self.at = None
-        self.counts.moves = self.following.moves
         self.broke()
 
     async def read(self, relay: RelayAt, body: bytes) -> None:
@@ -152,6 +151,7 @@
                 if self.at is None:
                     self.at = relay
                     self.following.opened(relay, now)
+                    self.counts.moves = self.following.moves
                     self.log("follows", relay=relay.address)
                     self.to_tell.set()
                 heard = self.hearing.line(told, self.wall())
--- a/gullmount/relays/relay.py
+++ b/gullmount/relays/relay.py
@@ -164,6 +164,9 @@
             self.topics.ask(new)
             self.upstream.to_tell.set()
 
+    def may_forget(self) -> bool:
+        return self.upstream.at is not None and not self.stale()
+
     def forgotten(self, topics: list[str]) -> None:
         self.topics.forget(topics)
         self.upstream.ask_less(topics)
--- a/gullmount/relays/serving.py
+++ b/gullmount/relays/serving.py
@@ -107,6 +107,7 @@
         connections: int,
         alive_every: float,
         rate: int | None = None,
+        body_most: int = messages.ASKED_MOST,
         log: Log,
         clock: Callable[[], float],
         wall: Callable[[], float],
@@ -119,6 +120,7 @@
         self.log = log
         self.clock = clock
         self.wall = wall
+        self.body_most = body_most
         self.telling: dict[str, Telling] = {}
         self.open = 0  # connections
         self.dropped = 0  # messages that were not understood
@@ -161,7 +163,7 @@
         hold_little(stream)
         self.open += 1
         try:
-            await serve(Paced(stream, self.note_stalled), self.answer, messages.ASKED_MOST)
+            await serve(Paced(stream, self.note_stalled), self.answer, self.body_most)
         finally:
             self.open -= 1
 
@@ -254,9 +256,14 @@
             await anyio.sleep(TIDY_EVERY)
             self.look()
             self.board.expire(self.clock())
-            forgotten = self.board.forgettable(self.clock())
-            if forgotten:
-                self.forgotten(forgotten)
+            if self.may_forget():
+                forgotten = self.board.forgettable(self.clock())
+                if forgotten:
+                    self.forgotten(forgotten)
+
+    def may_forget(self) -> bool:
+        """Whether what is forgotten could be asked for again."""
+        return True
 
     def forgotten(self, topics: list[str]) -> None:
         """Nobody has followed them for a while."""
--- a/gullmount/relays/source.py
+++ b/gullmount/relays/source.py
@@ -26,6 +26,7 @@
 from gullmount.relays.topics import TOPIC_MOST, TooLarge, Topics, Version
 
 ALIVE_EVERY = 1.0  # s between lines of a quiet stream: relays' as_of goes by them
+CHANGES_MOST = 16 << 20  # bytes of a call with changes: a region lost is some 3 MiB
 CHANGES = "/v1/changes"
 CONFLICT, TOO_LARGE = 409, 413
 
@@ -57,6 +58,7 @@
             zones=terms.zones,
             connections=terms.connections,
             alive_every=ALIVE_EVERY,
+            body_most=CHANGES_MOST,
             log=log,
             clock=clock,
             wall=wall,
@@ -171,7 +173,7 @@
         message = messages.changes(asked.body)
         changes = [(one.topic, one.key, one.value) for one in message.changes]
         try:
-            return version_told(await self.keep_and_change(changes, getattr(message, "whole", ())))
+            return version_told(await self.keep_and_change(changes, message.whole))
         except NotWhole as fault:
             return Said(CONFLICT, f"{fault}\n".encode())
         except TooLarge as fault:
--- /dev/null
+++ b/tests/relay_scene.py
@@ -0,0 +1,215 @@
+"""A source, relays and followers in memory and virtual time, with links that fail between them."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Mapping
+from random import Random
+from typing import Any
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from gullmount.calls import call
+from gullmount.days.run import in_virtual_time
+from gullmount.net import MemoryNet
+from gullmount.relays.follower import Follower, Unable
+from gullmount.relays.following import RelayAt
+from gullmount.relays.kept import MemoryKept
+from gullmount.relays.relay import Relay
+from gullmount.relays.source import Source
+from gullmount.relays.terms import RelayTerms, SourceTerms
+from gullmount.standins.links import Links, Party
+
+SOURCE = "10.0.0.1:7400"
+RELAYS = {"a1": "10.0.1.1:7401", "a2": "10.0.1.2:7401", "b1": "10.0.1.3:7401"}
+ZONES = {"a1": "a", "a2": "a", "b1": "b"}
+WALL = 1_796_000_000.0  # s
+
+
+class Got:
+    """What a follower was told, as an umpire would put it in force. `refuses`: numbers it cannot use."""
+
+    def __init__(self) -> None:
+        self.boxes_of: dict[str, dict[str, Any]] = {}
+        self.number: dict[str, int] = {}  # the configuration in force, by service
+        self.calls: list[tuple[str, str, bool, int]] = []  # kind, service, whole, entries
+        self.numbers: list[tuple[str, int]] = []  # all configurations put in force, in their order
+        self.refuses: set[int] = set()
+
+    def boxes(self, service: str, whole: bool, entries: Mapping[str, Any | None]) -> None:
+        self.calls.append(("boxes", service, whole, len(entries)))
+        held = {} if whole else self.boxes_of.setdefault(service, {})
+        for box, value in entries.items():
+            held.pop(box, None)
+            if value is not None:
+                held[box] = value
+        self.boxes_of[service] = held
+
+    def configuration(self, service: str, entries: Mapping[str, Any | None]) -> None:
+        self.calls.append(("config", service, False, len(entries)))
+        number = (entries.get("routes") or {"n": 0})["n"]
+        if number in self.refuses:
+            raise Unable(f"no use for {number}")
+        self.number[service] = number
+        self.numbers.append((service, number))
+
+
+class Clock:
+    """Runs with the loop's; `ahead` is how much a stop has made it jump."""
+
+    def __init__(self) -> None:
+        self.ahead = 0.0
+
+    def __call__(self) -> float:
+        return anyio.current_time() + self.ahead
+
+
+class Scene:
+    def __init__(self, tasks: TaskGroup, rate: int | None = None) -> None:
+        self.tasks = tasks
+        self.rate = rate
+        self.links = Links(MemoryNet(), 1)
+        self.logs: list[tuple[str, str, dict[str, Any]]] = []
+        self.scopes: dict[str, anyio.CancelScope] = {}
+        self.ended: dict[str, anyio.Event] = {}
+        self.parties: dict[str, Party] = {}
+        self.kept = MemoryKept(remembered=True)
+        self.wall_offset = 0.0
+        self.sources: list[Source] = []
+        self.relays: dict[str, Relay] = {}
+        self.clocks: dict[str, Clock] = {}
+        self.got: dict[str, Got] = {}
+        self.followers: dict[str, Follower] = {}
+        self.born = 0
+
+    def wall(self) -> float:
+        return WALL + anyio.current_time()
+
+    def party(self, name: str, host: str, zone: str) -> Party:
+        self.parties[name] = Party(self.links, host, name, zone, self.tasks)
+        return self.parties[name]
+
+    def log_of(self, who: str) -> Callable[..., None]:
+        def log(event: str, **fields: Any) -> None:
+            self.logs.append((who, event, fields))
+
+        return log
+
+    def logged(self, who: str, event: str) -> list[dict[str, Any]]:
+        return [fields for one, said, fields in self.logs if (one, said) == (who, event)]
+
+    async def begin(self, who: str, run: Callable[..., Awaitable[None]]) -> None:
+        started = anyio.Event()
+
+        async def run_it() -> None:
+            await run(started)
+
+        self.live(who, run_it)
+        with anyio.fail_after(10):
+            await started.wait()
+
+    def live(self, who: str, run: Callable[[], Awaitable[None]]) -> None:
+        async def live(scope: anyio.CancelScope, ended: anyio.Event) -> None:
+            with scope:
+                await run()
+            ended.set()
+
+        scope, ended = self.scopes[who], self.ended[who] = anyio.CancelScope(), anyio.Event()
+        self.tasks.start_soon(live, scope, ended)
+
+    async def source(self, **changes: Any) -> Source:
+        party = self.party("source", "10.0.0.1", "s")
+        told = {"listen": SOURCE, "zones": ["a", "b"], "relays": ZONES, "kept": "none", **changes}
+        made = Source(
+            SourceTerms.model_validate(told),
+            net=party,
+            kept=self.kept,
+            log=self.log_of("source"),
+            wall=lambda: self.wall() + self.wall_offset,
+        )
+        self.sources.append(made)
+        await self.begin("source", made.run)
+        return made
+
+    async def relay(self, name: str) -> Relay:
+        party = self.party(name, RELAYS[name].rpartition(":")[0], ZONES[name])
+        told = {"name": name, "zones": ["a", "b"], "zone": ZONES[name], "listen": RELAYS[name]}
+        self.born += 1
+        clock = self.clocks[name] = Clock()
+        made = self.relays[name] = Relay(
+            RelayTerms.model_validate({**told, "source": SOURCE, "rate": self.rate}),
+            net=party,
+            chance=Random(self.born),
+            log=self.log_of(name),
+            clock=clock,
+            wall=self.wall,
+        )
+        await self.begin(name, made.run)
+        return made
+
+    def follower(
+        self, name: str, services: list[str], zone: str = "a", relays: Mapping[str, str] | None = None
+    ) -> Follower:
+        self.born += 1
+        party = self.party(name, f"10.0.2.{self.born}", zone)
+        got = self.got.setdefault(name, Got())
+        made = self.followers[name] = Follower(
+            name=name,
+            zone=zone,
+            relays=[
+                RelayAt(address, ZONES.get(one, "a"))
+                for one, address in (RELAYS if relays is None else relays).items()
+            ],
+            services=services,
+            net=party,
+            chance=Random(self.born),
+            apply=got,
+            log=self.log_of(name),
+            wall=self.wall,
+        )
+        self.live(name, made.run)
+        return made
+
+    async def kill(self, who: str) -> None:
+        await self.parties[who].kill()
+        self.scopes[who].cancel()
+        await self.ended[who].wait()
+
+    def cut(self, one: str, other_address: str) -> Callable[[], None]:
+        """The link from this party to that address; the call mends it."""
+        line = self.links.line((self.parties[one].host, other_address))
+        line.fail("cut", "both", 0.0)
+        return lambda: line.mend("cut", "both", 0.0)
+
+    def configure(self, number: int, service: str = "pay") -> Any:
+        return self.sources[-1].change([(f"config/{service}", "routes", {"n": number})])
+
+    def all_at(self, number: int, service: str = "pay") -> bool:
+        return all(got.number.get(service) == number for got in self.got.values())
+
+    async def until(self, true: Callable[[], bool], within: float = 120.0) -> float:
+        """s that it took, by the scene's clock."""
+        began = anyio.current_time()
+        with anyio.fail_after(within):
+            while not true():
+                await anyio.sleep(0.01)
+        return anyio.current_time() - began
+
+    async def in_force(self) -> dict[str, Any]:
+        """What the source says."""
+        asker = Party(self.links, "10.0.9.9", "asker", "s", self.tasks)
+        _, body = await call(asker, SOURCE, "GET", "/v1/in-force")
+        told: dict[str, Any] = msgspec.json.decode(body)
+        return told
+
+
+def played(scene: Callable[[Scene], Awaitable[Any]], seed: int = 1, rate: int | None = None) -> Any:
+    async def play() -> Any:
+        async with anyio.create_task_group() as tasks:
+            made = Scene(tasks, rate)
+            out = await scene(made)
+            tasks.cancel_scope.cancel()
+        return out
+
+    return in_virtual_time(play, seed)
