--- a/gullmount/relays/board.py
+++ b/gullmount/relays/board.py
@@ -188,6 +188,7 @@
         if follower is None:
             return
         follower.gone_at = now
+        follower.first.clear()  # whether it got that is not known
         for dirty in follower.dirty:
             dirty.clear()
         self.leaving[name] = now
@@ -235,6 +236,8 @@
             follower.in_force[topic] = max(known, in_force.get(topic, version))
             if as_of > version and follower.in_force[topic] == version:
                 follower.before[topic] = as_of
+            if follower.in_force[topic] == NONE != version:
+                follower.first.setdefault(topic, version)  # it is about to apply it
             self.by_topic.setdefault(topic, {})[follower.name] = follower
             self.unfollowed.pop(topic, None)
             self.look(follower, topic)
@@ -332,9 +335,16 @@
 
     def head(self, kind: bytes, follower: Follower) -> bytes:
         topics = self.topics
-        more = follower.waits() or follower.unheard or topics.as_of < topics.seen
+        complete = topics.as_of
+        for topic, at in topics.gaps.items():
+            if follower.follows(topic):
+                complete = min(complete, at)
         head = b'{"v":1,"kind":"%b","as_of":[%d,%d]' % (kind, *topics.seen)
-        return head + (b',"more":true' if more else b"")
+        if complete < topics.seen:
+            head += b',"complete":[%d,%d]' % complete
+        if follower.waits() or follower.unheard:
+            head += b',"more":true'
+        return head
 
     def next_size(self, name: str, session: int) -> int:
         """Bytes of the smallest next batch; 0 if nothing waits."""
--- a/gullmount/relays/following.py
+++ b/gullmount/relays/following.py
@@ -15,9 +15,9 @@
 
 from gullmount.calls.messages import NotUnderstood
 from gullmount.relays import messages
-from gullmount.relays.messages import Alive, Follow, InForceTold
+from gullmount.relays.messages import Alive, Follow, InForceTold, Told
 from gullmount.relays.sums import WHY_MOST
-from gullmount.relays.topics import NONE, NULL, Applied, Topics, Version
+from gullmount.relays.topics import NONE, NULL, Applied, Topics, TopicTold, Version
 
 START_SPREAD = 1.0  # s over which first dials are spread: a cold start of 235 a relay; little for one alone
 MOVE_SPREAD = 1.0  # s over which those dial again whose relay has gone: they were all told in one moment
@@ -233,7 +233,7 @@
             self.fault(heard, str(fault))
             return heard
         heard.behind = message.as_of < self.topics.seen
-        if not self.topics.heard(message.as_of, more=True):
+        if not self.topics.heard(message.as_of, None):
             counts.lower_epoch += 1
             self.fault(heard, "epoch lower than one known")
             return heard
@@ -246,8 +246,8 @@
                 if self.topics.lost(name):
                     heard.touched.append(name)
             for told in message.topics:
-                self.take(told, message.as_of, heard)
-        self.topics.heard(message.as_of, message.more)
+                self.take(told, message, heard)
+        self.topics.heard(message.as_of, None if message.more else message.complete)
         return heard
 
     def fault(self, heard: Heard, why: str) -> None:
@@ -256,9 +256,9 @@
             self.faults.add(why)
             heard.faults.append(why)
 
-    def take(self, told: Any, as_of: Version, heard: Heard) -> None:
+    def take(self, told: TopicTold, message: Told, heard: Heard) -> None:
         counts = self.counts
-        match self.topics.apply(told, as_of):
+        match self.topics.apply(told, message.as_of, message.complete):
             case Applied.NEW:
                 counts.snapshots += told.whole
                 counts.changes += not told.whole
@@ -276,7 +276,7 @@
             case Applied.LOWER_EPOCH:
                 counts.lower_epoch += 1  # not reached: such a line is dropped whole
 
-    def news(self, told: Any) -> News:
+    def news(self, told: TopicTold) -> News:
         entries: dict[str, Any | None] = {}
         if self.read:
             for key, raw in told.entries.items():
--- a/gullmount/relays/messages.py
+++ b/gullmount/relays/messages.py
@@ -34,9 +34,11 @@
 
 @dataclass(frozen=True)
 class Told:
-    """News: topics, and as of when the sender's are; `more`: not all of that is told yet."""
+    """News: topics, the newest version that the sender knows of, and up to where its own are complete.
+    `more`: not all that it has is told yet."""
 
     as_of: Version
+    complete: Version
     more: bool
     topics: list[TopicTold]
     faults: list[tuple[str, str]]  # topics left out as not understood, as far as they can be read, and why
@@ -47,6 +49,7 @@
     """Nothing to tell; `stale`: s since a relay heard the source."""
 
     as_of: Version
+    complete: Version
     more: bool
     stale: float
 
@@ -89,13 +92,17 @@
 
 
 class Changes(msgspec.Struct, tag_field="v", tag=VERSION):
+    """`whole`: topics of which these are all the entries there are."""
+
     changes: list[Change]
+    whole: list[str] = []
 
 
 class HeadTold(msgspec.Struct):
     v: int
     kind: str
     as_of: Version
+    complete: Version | None = None
     more: bool = False
     stale: float = 0.0
     topics: list[msgspec.Raw] = []
@@ -217,6 +224,10 @@
     message = asked(body, Changes, LINE_MOST * 4)
     if len(message.changes) > CHANGES_MOST:
         raise NotUnderstood("too many changes")
+    if len(message.whole) > TOPICS_MOST:
+        raise NotUnderstood("too many topics")
+    for topic in message.whole:
+        sound_topic(topic)
     for one in message.changes:
         sound_topic(one.topic)
         if not 0 < len(one.key) <= KEY_MOST:
@@ -233,10 +244,13 @@
         raise NotUnderstood(f"version {version}")
     head = parsed(line, HeadTold)
     sound_version(head.as_of, wall)
+    complete = head.as_of if head.complete is None else head.complete
+    if not NONE <= complete <= head.as_of:
+        raise NotUnderstood("complete: beyond as_of")
     if head.kind == "alive":
         if not head.stale >= 0.0:
             raise NotUnderstood("stale: no time")
-        return Alive(head.as_of, head.more, head.stale)
+        return Alive(head.as_of, complete, head.more, head.stale)
     if head.kind != "told":
         raise NotUnderstood("kind: no such")
     topics: list[TopicTold] = []
@@ -246,7 +260,7 @@
             topics.append(topic_told(raw, head.as_of, wall))
         except NotUnderstood as fault:
             faults.append((name_of(raw), str(fault)))
-    return Told(head.as_of, head.more, topics, faults)
+    return Told(head.as_of, complete, head.more, topics, faults)
 
 
 def name_of(raw: msgspec.Raw) -> str:
--- a/gullmount/relays/topics.py
+++ b/gullmount/relays/topics.py
@@ -167,8 +167,9 @@
 
     # What is told here
 
-    def apply(self, told: TopicTold, as_of: Version) -> Applied:
-        """`as_of`: of the message that it came in, whose `heard` follows when all its topics are applied."""
+    def apply(self, told: TopicTold, as_of: Version, complete: Version | None = None) -> Applied:
+        """`as_of` and `complete`: of the message that it came in, whose `heard` follows when all its topics
+        are applied."""
         name = told.topic
         if self.asked is None or name not in self.asked:
             return Applied.UNASKED
@@ -183,14 +184,14 @@
         ):
             self.lost(name)
             return Applied.GAP
-        if topic is None and as_of < self.as_of:
-            self.as_of = as_of  # not complete beyond it: this topic was not followed before
-        complete = self.gaps.pop(name, self.as_of)
+        if topic is None or name in self.gaps:  # its sender may be behind those who told the others
+            self.as_of = min(self.as_of, max(told.version, as_of if complete is None else complete))
+        before = self.gaps.pop(name, self.as_of)
         if told.whole:
-            self.held[name] = self.replaced(told, topic, complete)
+            self.held[name] = self.replaced(told, topic, before)
         else:
             assert topic is not None
-            topic.steps.append((held, complete))
+            topic.steps.append((held, before))
             for key, raw in told.entries.items():
                 value = bytes(raw)
                 topic.put(key, None if value == NULL else value, told.version.revision)
@@ -205,6 +206,7 @@
         return True
 
     def replaced(self, told: TopicTold, before: Topic | None, complete: Version) -> Topic:
+        """`complete`: up to when what was held before was."""
         topic = Topic(told.version)
         changed = told.changed
         if changed is None:
@@ -222,14 +224,14 @@
             topic.steps.append((before.version, complete))
         return topic
 
-    def heard(self, as_of: Version, more: bool) -> bool:
-        """A message was applied whose sender is at `as_of`; `more`: not all up to there was told yet. False
-        for one whose source counts in an earlier life than one known."""
+    def heard(self, as_of: Version, complete: Version | None) -> bool:
+        """A message was applied whose sender knows of `as_of`; `complete`: up to where all was told, if that
+        is known. False for one whose source counts in an earlier life than one known."""
         if as_of.epoch < self.epoch:
             return False
         self.seen = max(self.seen, as_of)
-        if not more:
-            self.as_of = max(self.as_of, as_of)
+        if complete is not None:
+            self.as_of = max(self.as_of, complete)
         return True
 
     # What a source does
