--- a/gullmount/relays/board.py
+++ b/gullmount/relays/board.py
@@ -11,8 +11,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from heapq import nsmallest
-
-import msgspec
+from typing import NamedTuple
 
 from gullmount.relays.sums import NAMES_MOST, WHY_MOST, InForce, Unable
 from gullmount.relays.topics import NONE, Topics, Version
@@ -57,12 +56,22 @@
     """There are as many followers as are taken."""
 
 
+class Standing(NamedTuple):
+    """What a sum takes of one follower. Of the topics that are pending there: up to where all is in force."""
+
+    lowest: Version | None  # what it refused counts as done; None: nothing pending
+    lowest_used: Version | None  # what it refused is not in force
+    starting: bool  # whether it has not had all topics once
+    behind: bool  # whether something is pending that it did not refuse
+    refused: bool  # whether it refused the newest of a topic
+
+
 class Follower:
     """What is held of one. Lives from its first stream until a grace after its last."""
 
     __slots__ = (
-        "before", "dirty", "first", "gone_at", "history", "in_force", "name", "pending", "session", "told",
-        "turn", "unable", "unheard", "zone",
+        "before", "dirty", "first", "gone_at", "history", "in_force", "name", "pending", "session",
+        "standing", "told", "turn", "unable", "unheard", "zone",
     )  # fmt: skip
 
     def __init__(self, name: str, zone: str, session: int, history: bool) -> None:
@@ -80,14 +89,11 @@
         self.pending: dict[str, None] = {}  # topics whose newest version is not in force there
         self.unheard: set[str] = set()  # topics that it follows and that are not known here yet
         self.unable: dict[str, tuple[Version, str]] = {}
+        self.standing: Standing | None = None  # None: to be found anew
 
     def follows(self, topic: str) -> bool:
         return topic in self.told
 
-    def lacks(self, topic: str) -> bool:
-        """Whether it never had the topic."""
-        return topic not in self.first and self.in_force[topic] == NONE
-
     def waits(self) -> bool:
         """Whether there is something to tell it."""
         return bool(self.dirty[0] or self.dirty[1])
@@ -320,6 +326,7 @@
             follower.told[topic] = self.topics.version(topic)
             if follower.in_force[topic] == NONE:
                 follower.first.setdefault(topic, follower.told[topic])
+                follower.standing = None
         if not parts:
             return None
         line = b"".join((self.head(b"told", follower), b',"topics":[', b",".join(parts), b"]}\n"))
@@ -387,6 +394,8 @@
                 follower.unable[topic] = version, why[:WHY_MOST]
 
     def settle(self, follower: Follower) -> None:
+        """Something of it changed."""
+        follower.standing = None
         if follower.pending or follower.unable or follower.gone_at is not None:
             self.unsettled[follower.name] = follower
         else:
@@ -397,25 +406,42 @@
         found = follower.unable.get(topic)
         return found is not None and found[0] >= self.topics.version(topic) > NONE
 
-    def watermark(self, follower: Follower, used: bool) -> Version:
-        """The highest version up to which nothing that it follows is still to be applied; `used`: what it
-        refused is not taken as done. Topics that it never had are left out: it serves nothing by them yet."""
-        lowest = self.topics.as_of
+    def standing(self, follower: Follower) -> Standing:
+        """Found anew only after something of it changed."""
+        if follower.standing is None:
+            follower.standing = self.found_standing(follower)
+        return follower.standing
+
+    def found_standing(self, follower: Follower) -> Standing:
+        """Topics that it never had are left out of the versions: it serves nothing by them yet."""
+        refused = {topic for topic in follower.unable if self.refused(follower, topic)}
+        lowest: Version | None = None
+        lowest_used: Version | None = None
+        starting = behind = False
         for topic in follower.pending:
-            if not follower.lacks(topic) and (used or not self.refused(follower, topic)):
-                lowest = min(lowest, self.reached(follower, topic))
-        return lowest
-
-    def reached(self, follower: Follower, topic: str) -> Version:
-        """Up to which version all of a pending topic is in force."""
-        version = follower.first.get(topic, follower.in_force[topic])
+            version = follower.first.get(topic) or follower.in_force[topic]
+            if version == NONE:
+                starting = True
+                continue
+            reached = self.reached(follower, topic, version)
+            if lowest_used is None or reached < lowest_used:
+                lowest_used = reached
+            if topic not in refused:
+                behind = True
+                if lowest is None or reached < lowest:
+                    lowest = reached
+        return Standing(lowest, lowest_used, starting, behind, bool(refused))
+
+    def reached(self, follower: Follower, topic: str, version: Version) -> Version:
+        """Up to which version all of a pending topic is in force, of which `version` is."""
         held = self.topics.held.get(topic)
         gap = self.topics.gaps.get(topic)
         if held is not None and version < held.version:
             version = held.covered(version)
         elif held is not None and gap is not None:
             version = gap
-        version = max(version, follower.before.get(topic, NONE))
+        if follower.before:
+            version = max(version, follower.before.get(topic, NONE))
         return version if gap is None else min(version, gap)
 
     def summary(self) -> dict[str, InForce]:
@@ -435,18 +461,17 @@
         for follower in unsettled:
             if follower.gone_at is not None:
                 gone.append(follower.name)
-            refused = [topic for topic in follower.unable if self.refused(follower, topic)]
-            if refused:
-                unable += 1
-            for topic, (version, why) in follower.unable.items():
-                named.append(Unable(follower.name, topic, version, why))
-            mark = self.watermark(follower, used=False)
+            standing = self.standing(follower)
+            mark = as_of if standing.lowest is None else min(as_of, standing.lowest)
             lowest = min(lowest, mark)
-            lowest_used = min(lowest_used, self.watermark(follower, used=True))
-            if any(follower.lacks(topic) for topic in follower.pending):
-                starting += 1
-            elif len(refused) < len(follower.pending):
+            if standing.lowest_used is not None:
+                lowest_used = min(lowest_used, standing.lowest_used)
+            starting += standing.starting
+            unable += standing.refused
+            if standing.behind and not standing.starting:
                 behind.append((follower.name, mark))
+            for topic, (version, why) in follower.unable.items():
+                named.append(Unable(follower.name, topic, version, why))
         running = count - starting
         return InForce(
             followers=count,
@@ -462,8 +487,3 @@
             ),
             gone_names=tuple(nsmallest(NAMES_MOST, gone)),
         )
-
-
-def encoded(message: msgspec.Struct) -> bytes:
-    """A message as a line."""
-    return msgspec.json.encode(message) + b"\n"
--- a/tests/test_relay_core.py
+++ b/tests/test_relay_core.py
@@ -839,18 +839,44 @@
         scene.join(f"u-{number}", zone=f"zone-{number % 3}", topics=topics)
         scene.settle(f"u-{number}")
     looked: Counter[str] = Counter()
-    plain = Board.watermark
+    plain = Board.found_standing
 
-    def counted(board: Board, follower: boards.Follower, used: bool) -> Version:
+    def counted(board: Board, follower: boards.Follower) -> boards.Standing:
         looked[follower.name] += 1
-        return plain(board, follower, used)
+        return plain(board, follower)
 
-    monkeypatch.setattr(Board, "watermark", counted)
+    monkeypatch.setattr(Board, "found_standing", counted)
     scene.board.summary()
     assert not looked
     scene.change(("config/1", "k", 1))
-    scene.board.summary()
-    assert looked.keys() == {"u-0"}
+    for _ in range(5):
+        scene.board.summary()
+    assert looked == {"u-0": 1}, "and once after each change of it"
+    scene.change(("boxes/1", "k", 1))
+    scene.settle("u-0")
+    assert scene.board.summary()["zone-0"].lowest == scene.topics.as_of and looked == {"u-0": 1}
+
+
+def test_a_change_or_a_word_touches_only_those_who_follow_the_topic(monkeypatch: pytest.MonkeyPatch) -> None:
+    scene = Scene(services=50)
+    for number in range(100):
+        scene.join(f"u-{number}", topics=[f"boxes/{number % 50}", f"config/{number % 50}"])
+        scene.settle(f"u-{number}")
+    looked: Counter[tuple[str, str]] = Counter()
+    plain = Board.look
+
+    def counted(board: Board, follower: boards.Follower, topic: str) -> None:
+        looked[follower.name, topic] += 1
+        plain(board, follower, topic)
+
+    monkeypatch.setattr(Board, "look", counted)
+    scene.change(("boxes/7", "k", 1), ("config/8", "k", 1))
+    boxes, config = "boxes/7", "config/8"
+    assert looked.keys() == {("u-7", boxes), ("u-57", boxes), ("u-8", config), ("u-58", config)}
+    assert set(looked.values()) == {1}
+    looked.clear()
+    scene.settle("u-7")
+    assert looked == {("u-7", "boxes/7"): 1}
 
 
 # Following
--- a/tests/test_relay_orders.py
+++ b/tests/test_relay_orders.py
@@ -815,8 +815,8 @@
 class SkipsWhatIsPending(Board):
     """Counts all as reached but what it has told."""
 
-    def watermark(self, follower: Follower, used: bool) -> Version:
-        return self.topics.as_of
+    def found_standing(self, follower: Follower) -> boards.Standing:
+        return boards.Standing(None, None, False, False, False)
 
 
 class NeverAsksAgain(Hearing):
