Relays: what was not heard of is asked for once a stream; waits double after a stream that lasted

A relay that stayed away was dialled each half second by those whose stream there had lasted 10 s: each failure counted as the first.

--- a/gullmount/relays/following.py
+++ b/gullmount/relays/following.py
@@ -76,7 +76,7 @@
         self.tried = {relay.address: Tried() for relay in relays}
         self.started = False
         self.at: RelayAt | None = None  # whose stream there is, or is being opened
-        self.since = 0.0
+        self.since: float | None = None  # when that began; None: it has ended
         self.byte_at = 0.0
         self.line_at = 0.0
         self.behind_since: float | None = None
@@ -156,8 +156,10 @@
     def failed(self, relay: RelayAt, now: float, hung: bool = False) -> None:
         """It could not be reached, answered nonsense or broke; `hung`: it said nothing for too long."""
         tried = self.tried[relay.address]
-        if self.at == relay and now - self.since >= STEADY:
-            tried.failures = 0
+        if self.at == relay and self.since is not None:
+            if now - self.since >= STEADY:
+                tried.failures = 0
+            self.since = None
         if hung:
             tried.failures = max(tried.failures, HUNG)
         wait = min(BACKOFF_MOST, BACKOFF * 2**tried.failures)
@@ -285,14 +287,15 @@
         return News(told.topic, told.version, told.whole, entries)
 
     def to_ask(self, now: float) -> dict[str, Version]:
-        """Topics to ask for whole now, on the stream there is: those with a gap, and those that were not
-        heard of yet; each again after a while, not at once."""
+        """Topics to ask for whole now, on the stream there is: those with a gap, again after a while, and
+        those that were not heard of yet, once. Where the call fails, a new stream is to be begun."""
         wanted = {*self.topics.gaps, *self.topics.unheard()}
         asked, self.asked_at = self.asked_at, {}
         due = {}
         for name in sorted(wanted):
             last, times = asked.get(name, (now, 0))
-            if times == 0 or now - last >= ASK_AGAIN * 2 ** min(times - 1, ASK_DOUBLES):
+            again = name in self.topics.gaps and now - last >= ASK_AGAIN * 2 ** min(times - 1, ASK_DOUBLES)
+            if times == 0 or again:
                 due[name] = NONE
                 last, times = now, times + 1
             self.asked_at[name] = last, times
--- a/tests/test_relay_core.py
+++ b/tests/test_relay_core.py
@@ -569,6 +569,11 @@
     assert scene.board.asks_less("u", session, ["boxes/0", "boxes/2"], 0.0)
     scene.change(("boxes/0", "k", 9))
     assert scene.batch("u") == [] and scene.board.unfollowed.keys() == {"boxes/0"}
+    hearing.topics.ask(["boxes/7"])
+    assert hearing.to_ask(0.0) == {"boxes/7": NONE}
+    assert not any(hearing.to_ask(float(now)) for now in range(1, 100)), "asked for once on a stream"
+    hearing.asked(100.0)
+    assert hearing.to_ask(200.0) == {}
     assert not scene.board.asks_more("u", session + 1, {}, 0.0)
     assert not scene.board.asks_less("v", session, [], 0.0)
 
@@ -925,6 +930,17 @@
     assert max(seen) - min(seen) > 5.0, "a ramp when the source is back"
 
 
+def test_waits_double_also_after_a_stream_that_had_lasted() -> None:
+    follower, now, waits = Following([RelayAt("source")], "", Random(3)), 100.0, []
+    only = follower.relays[0]
+    follower.opened(only, 0.0)
+    for _ in range(8):
+        follower.failed(only, now)
+        waits.append(follower.dial(now).at - now)
+        now += waits[-1]
+    assert waits[0] < 2.0 and waits[-1] > 7.0
+
+
 def test_those_of_a_relay_that_was_killed_are_spread_over_time_and_the_others() -> None:
     relays = fleet("abcdefgh")
     ats, chosen = [], Counter()
--- a/tests/test_relay_orders.py
+++ b/tests/test_relay_orders.py
@@ -251,13 +251,14 @@
             self.give_up(failed=False)
         else:
             due = self.hearing.to_ask(world.now)
-            if due and not world.drawn(0.1) and not wire.server.board.asks_more(
-                self.name, wire.session, due, world.now
-            ):
+            if not due:
+                self.report(wire)
+            elif wire.server.dead or world.drawn(0.1):
+                self.give_up()  # the call was lost
+            elif not wire.server.board.asks_more(self.name, wire.session, due, world.now):
                 self.give_up()
-            elif due:
+            else:
                 world.after(0.0, lambda: wire.server.pump(wire), wire.server)
-            self.report(wire)
 
     def report(self, wire: Wire) -> None:
         one = self.reports.to_tell()
@@ -620,6 +621,9 @@
         self.after(0.0, lambda: self.kill_relay("relay-0", 1e9))
         self.after(45.0, lambda: self.source.change([(name, "last", 1) for name in NAMES]))
         self.play_until(self.now + CALM)
+        self.rest()
+
+    def rest(self) -> None:
         for left in range(20, -1, -1):  # one that tries its own zone again is counted twice for a grace
             try:
                 self.settled()
@@ -678,6 +682,68 @@
     assert sum(umpire.following.moves for umpire in umpires) > 20
 
 
+def calm(seed: int, history: bool) -> World:
+    """A fleet that has come to rest, and in which there will be no faults but those that the test makes."""
+    world = World(seed, False, Made())
+    world.faults, world.history_told = False, history
+    world.play_until(90.0)  # who began at another zone's relay is at home
+    for number in range(30):
+        world.source.change([(NAMES[number % len(NAMES)], KEYS[number % 6], number)])
+        world.play_until(world.now + 0.3)
+    world.play_until(110.0)
+    world.settled()
+    for one in world.umpires.values():
+        assert one.following.at is not None and one.following.at.zone == one.zone
+    return world
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_relay_killed_its_followers_are_elsewhere_in_seconds_and_ask_for_nothing_whole(seed: int) -> None:
+    world = calm(seed, history=True)
+    relay = world.servers["relay-1"]
+    moved = [one for one in world.umpires.values() if one.wire is not None and one.wire.server is relay]
+    before = {one.name: one.hearing.counts.snapshots for one in world.umpires.values()}
+    world.kill_relay("relay-1", 1e9)
+    for number in range(20):  # changes go on
+        world.source.change([(NAMES[number % len(NAMES)], "during", number)])
+        world.play_until(world.now + 0.25)
+    assert moved and all(one.wire is not None and one.wire.server is not relay for one in moved)
+    world.play_until(world.now + 10.0)
+    world.rest()
+    assert before == {one.name: one.hearing.counts.snapshots for one in world.umpires.values()}
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_relay_stopped_and_woken_tells_nothing_old_as_new(seed: int) -> None:
+    world = calm(seed, history=True)
+    relay = world.servers["relay-1"]
+    stopped = world.now
+    relay.stopped_until = stopped + 20.0
+    for number in range(80):
+        world.source.change([(NAMES[number % len(NAMES)], "during", number)])
+        world.play_until(world.now + 0.25)
+        for one in world.umpires.values():
+            assert world.now < stopped + 13.0 or (one.wire is not None and one.wire.server is not relay)
+    world.play_until(world.now + 15.0)  # it is awake; each line heard was checked
+    world.rest()
+    world.play_until(world.now + 120.0)
+    assert any(one.wire is not None and one.wire.server is relay for one in world.umpires.values())
+    world.rest()
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_the_source_gone_all_go_on_and_when_it_is_back_have_what_it_has(seed: int) -> None:
+    world = calm(seed, history=False)
+    held = {one.name: dict(one.versions) for one in world.umpires.values()}
+    world.restart_source(40.0)
+    world.play_until(world.now + 39.0)
+    assert held == {one.name: dict(one.versions) for one in world.umpires.values()}
+    world.play_until(world.now + 40.0)
+    newest = max(version for versions in held.values() for version in versions.values())
+    assert world.source.topics.as_of.revision == 1 < newest.revision
+    world.rest()
+
+
 # Planted defects
 
 
