A configuration makes anew only the routes that changed; process tests wait for a connection

The umpire says that it listens just before it does, and 5 of 16 trial runs met a refusal there: the tests now wait until it takes a connection.

--- a/gullmount/relays/umpire.py
+++ b/gullmount/relays/umpire.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -30,7 +31,7 @@
 from gullmount.umpire import Memory, NoMemory, RunningUmpire
 from gullmount.umpire.control import Starts
 from gullmount.umpire.general import GeneralEntrance
-from gullmount.umpire.terms import RouteTerms
+from gullmount.umpire.terms import ONCE, RouteTerms
 
 RETIRED_FOR = 600.0  # s for which a route is known that is in force no more: a req of it may still be read
 SAVE_EVERY = 1.0  # s between writes of what is remembered
@@ -39,6 +40,7 @@
 
 Routes = TypeAdapter(list[RouteTerms])
 Value = dict[str, Any]
+Matcher = tuple[RouteTerms, re.Pattern[str]]
 
 
 class Inner(Protocol):
@@ -88,7 +90,8 @@
         self.boxes_of: dict[str, dict[str, Value]] = {service: {} for service in told.services}
         self.holders: dict[str, list[str]] = {}  # by box: services that list it, the one told last at the end
         self.values: dict[str, Value] = {}  # by service: its configuration as told and in force
-        self.routes_of: dict[str, list[RouteTerms]] = {}  # the same as routes
+        self.routes_of: dict[str, list[Matcher]] = {}  # the same as routes
+        self.own_routes = [(route, route.match.pattern()) for route in terms.routes]  # of the file
         self.retired: dict[str, float] = {}  # names of routes, since when not in force
         self.index = 0
         self.fed = False  # whether the module was told the whole list
@@ -238,35 +241,43 @@
         value = entries.get("routes")
         routes = [] if value is None else sound_routes(value)
         self.look_at_names(service, routes)
-        self.routes_of[service] = routes
         self.values[service] = {} if value is None else {"routes": value}
-        self.put_in_force()
+        self.put_in_force(service, routes)
         self.to_save.set()
 
     def look_at_names(self, service: str, routes: list[RouteTerms]) -> None:
         """Raises Unable. A route of the file's may be told anew: it stands until then."""
         names = [route.name for route in routes]
-        others = {route.name for one, told in self.routes_of.items() if one != service for route in told}
+        others = {route.name for one, told in self.routes_of.items() if one != service for route, _ in told}
         for name in names:
             if names.count(name) > 1 or name in others:
                 raise Unable(f"route named twice: {name}")
 
-    def put_in_force(self) -> None:
-        """For reqs taken from now on; those that are out go on by what they began with."""
-        told = [route for service in self.told.services for route in self.routes_of.get(service, [])]
-        names = {route.name for route in told}
-        routes = told + [route for route in self.terms.routes if route.name not in names]
+    def put_in_force(self, service: str, routes: list[RouteTerms]) -> None:
+        """For reqs taken from now on; those that are out go on by what they began with. Only what changed is
+        made anew: an umpire may front thousands of routes."""
+        before = {route.name: (route, pattern) for route, pattern in self.routes_of.get(service, [])}
+        told: list[Matcher] = []
+        for route in routes:
+            held = before.get(route.name)
+            told.append(held if held is not None and held[0] == route else (route, route.match.pattern()))
+        self.routes_of[service] = told
+        names = {route.name for one in self.routes_of.values() for route, _ in one}
+        matchers = [matcher for one in self.told.services for matcher in self.routes_of.get(one, [])]
+        matchers += [matcher for matcher in self.own_routes if matcher[0].name not in names]
         host = self.running.host
-        cast(GeneralEntrance, host.entrance).routes = [(route, route.match.pattern()) for route in routes]
+        cast(GeneralEntrance, host.entrance).routes = matchers
         known = cast(dict[str, Route], host.umpire.grounds.routes)
-        made = self.terms.model_copy(update={"routes": routes}).grounds(0, False).routes
+        back = [route for route, _ in self.own_routes if route.name in before and route.name not in names]
+        made = self.terms.model_copy(update={"routes": [*routes, *back]}).grounds(0, False).routes
         known.update(made)
         now = host.now()
-        for name in known:
-            if name in made:
-                self.retired.pop(name, None)
-            else:
-                self.retired.setdefault(name, now)
+        for name in made:
+            self.retired.pop(name, None)
+        for name in before:
+            for gone in (name, name + ONCE):
+                if gone not in made:
+                    self.retired[gone] = now
         for name in [name for name, since in self.retired.items() if now - since > RETIRED_FOR]:
             del self.retired[name], known[name]
 
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -102,7 +102,7 @@
         self.tasks.start_soon(made.run)
         return made
 
-    async def umpire(self, ready: str = "listening") -> None:
+    async def umpire(self) -> None:
         async def launcher(stream: Stream) -> None:
             try:
                 await lines(stream, {"news": {"build": 1, "stage": 1, "phase": "released", "cap": 1.0}})
@@ -124,7 +124,18 @@
         section["remembered"] = str(self.folder / "in-force.json")
         data = told.model_dump(mode="json")
         del data["roster"]
-        await self.begin("umpire", "umpire", {**data, "relays": section}, ready)
+        await self.begin_umpire({**data, "relays": section})
+
+    async def begin_umpire(self, told: dict[str, Any]) -> None:
+        """Until it takes connections: it says that it listens just before."""
+        await self.begin("umpire", "umpire", told)
+        with anyio.fail_after(WITHIN):
+            while True:
+                try:
+                    await (await self.net.connect(f"{host(6)}:8000")).aclose()
+                    return
+                except OSError:
+                    await anyio.sleep(LOOK)
 
     async def serve(self, address: str, speak: Callable[[Stream], Awaitable[None]]) -> None:
         started = anyio.Event()
@@ -460,7 +471,7 @@
         await made.until(lambda: made.ended("umpire"))
         assert made.processes["umpire"].process.poll() == 0
         await made.change(config("/new"))
-        await made.begin("umpire", "umpire", json.loads((tmp_path / "umpire.yaml").read_text()))
+        await made.begin_umpire(json.loads((tmp_path / "umpire.yaml").read_text()))
         assert [await made.ask("/old"), await made.ask("/new")] == [404, 200]
 
     played(tmp_path, scene, "a1")
@@ -478,7 +489,7 @@
         await made.kill("a1")
         told = json.loads((tmp_path / "umpire.yaml").read_text())
         told["relays"]["start_within"] = 3.0
-        await made.begin("umpire", "umpire", told)
+        await made.begin_umpire(told)
         assert made.logged("umpire", "starts from what was remembered")
         assert await made.ask("/old") == 200
 
--- a/tests/test_relay_umpire.py
+++ b/tests/test_relay_umpire.py
@@ -229,7 +229,7 @@
                 assert said in str(fault)
             else:
                 raise AssertionError(value)
-        assert [route.name for route in made.routes_of["pay"]] == ["old"]
+        assert [route.name for route, _ in made.routes_of["pay"]] == ["old"]
 
     played(play)
 
@@ -354,3 +354,22 @@
         assert 51 < host.now() - host.umpire.boxes[BOXES["one"]].started < 56
 
     played(play)
+
+
+def test_route_of_the_file_that_is_told_anew_stands_again_when_that_is_taken_off() -> None:
+    async def play(scene: Scene) -> None:
+        around = await begun(scene, "a1")
+        source = scene.sources[-1]
+        anew = [("config/pay", "routes", {"routes": [{**ROUTE, "name": "pay", "match": {"path": "/other"}}]})]
+        source.change(boxes_of("one") + anew)
+        made = await around.umpire(Kept())
+        with anyio.fail_after(60):
+            await made.listening.wait()
+        assert [await around.ask("/pay"), await around.ask("/other")] == [404, 200]
+        objective = made.running.host.umpire.grounds.routes["pay"].objective
+        source.change([("config/pay", "routes", None)])
+        await scene.until(lambda: made.routes_of["pay"] == [])
+        assert [await around.ask("/pay"), await around.ask("/other")] == [200, 404]
+        assert made.running.host.umpire.grounds.routes["pay"].objective == objective == 0.5
+
+    played(play)
