--- a/gullmount/relays/follower.py
+++ b/gullmount/relays/follower.py
@@ -209,7 +209,7 @@
             if not await self.say(calls, to, IN_FORCE, line(told)):
                 return False
             self.reports.confirmed(told)
-        return not self.topics.gaps and not self.topics.unheard()
+        return not self.topics.gaps
 
     async def say(self, calls: KeptCalls, to: RelayAt, target: str, body: bytes) -> int:
         """The status; 0 for no answer."""
