--- a/gullmount/commands/relaying.py
+++ b/gullmount/commands/relaying.py
@@ -32,13 +32,20 @@
 
 @click.command()
 @click.argument("file", type=Path_)
-def source(file: Path) -> None:
+@click.option(
+    "--found", is_flag=True, help="A blank file of its state begins: for the very first start only."
+)
+def source(file: Path, found: bool) -> None:
     """Run the source that FILE describes, until SIGTERM or SIGINT; logs go to standard error as JSON lines.
 
+    \b
+    gullmount source source.yaml --found    the first start: nothing was told yet
+    gullmount source source.yaml            every later one, with whatever its file holds
+
     Changes are told to it by POST /v1/changes; GET /v1/in-force says what is in force where.
     """
     terms = loaded(file, SourceTerms)
-    started(file, run_source, terms, logger(source=terms.listen), ends=Damaged)
+    started(file, run_source, terms, logger(source=terms.listen), found, ends=Damaged)
 
 
 async def run_relay(terms: RelayTerms, log: Any) -> None:
@@ -46,8 +53,8 @@
     await until_signal(made.run, log)
 
 
-async def run_source(terms: SourceTerms, log: Any) -> None:
-    kept = FileKept(Path(terms.kept), terms.remembered)
+async def run_source(terms: SourceTerms, log: Any, found: bool) -> None:
+    kept = FileKept(Path(terms.kept), terms.remembered, found)
     await until_signal(Source(terms, net=TcpNet(), kept=kept, log=log).run, log)
 
 
--- a/gullmount/relays/kept.py
+++ b/gullmount/relays/kept.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Protocol
 
@@ -20,7 +21,7 @@
 LOG_LEAST = 4 << 20  # bytes of changes below which the state is not written whole again
 
 Change = tuple[str, str, Any]  # topic, key, value (None: gone)
-State = Mapping[str, Mapping[str, msgspec.Raw]]  # by topic and key
+State = Mapping[str, Mapping[str, Any]]  # values, or their JSON as msgspec.Raw, by topic and key
 States = Callable[[], State]
 
 
@@ -28,80 +29,103 @@
     """What is kept cannot be understood: without it an earlier life's number might be counted anew."""
 
 
+@dataclass(frozen=True)
+class Life:
+    """What a source begins with. `all_known`: a topic of which nothing is remembered is empty; else it is not
+    known."""
+
+    epoch: int  # above that of any earlier life
+    topics: dict[str, dict[str, Any]]  # what is remembered: values by topic and key; one without is empty
+    all_known: bool
+
+
 class Kept(Protocol):
     """Raises OSError where the disk does."""
 
-    async def begin(self, wall_ms: int) -> tuple[int, list[Change]]:
-        """The number of this life, above that of any earlier one, and what is remembered. Raises Damaged."""
+    async def begin(self, wall_ms: int) -> Life:
+        """Raises Damaged."""
 
-    async def append(self, changes: list[Change], state: States) -> None:
-        """Once it returns they are on the disk. `state`: with them, if asked for."""
+    async def append(self, changes: list[Change], whole: Collection[str], state: States) -> None:
+        """Once it returns they are on the disk. `whole`: topics that are known from here on. `state`: all of
+        it with them, if asked for."""
 
 
 class MemoryKept:
-    """Outlives a source in one process."""
+    """Outlives a source in one process. `found`: its first life knows that there is nothing yet."""
 
-    def __init__(self, remembered: bool = False) -> None:
+    def __init__(self, remembered: bool = False, found: bool = True) -> None:
         self.remembered = remembered
+        self.all_known = remembered and found
         self.epoch = 0
-        self.changes: list[Change] = []
+        self.topics: dict[str, dict[str, Any]] = {}
 
-    async def begin(self, wall_ms: int) -> tuple[int, list[Change]]:
+    async def begin(self, wall_ms: int) -> Life:
         self.epoch = max(self.epoch + 1, wall_ms)
-        return self.epoch, list(self.changes)
+        return Life(self.epoch, {topic: dict(held) for topic, held in self.topics.items()}, self.all_known)
 
-    async def append(self, changes: list[Change], state: States) -> None:
+    async def append(self, changes: list[Change], whole: Collection[str], state: States) -> None:
         if self.remembered:
-            self.changes += changes
+            replay(self.topics, changes, whole)
+
+
+def replay(topics: dict[str, dict[str, Any]], changes: list[Change], whole: Collection[str]) -> None:
+    for topic in whole:
+        topics.setdefault(topic, {})
+    for topic, key, value in changes:
+        held = topics.setdefault(topic, {})
+        held.pop(key, None)
+        if value is not None:
+            held[key] = value
 
 
 class FileKept:
-    """Files at `path` and beside it."""
+    """Files at `path` and beside it. `found`: a blank file begins, for the very first life; without that, one
+    that is blank may have been lost, and nothing is known."""
 
-    def __init__(self, path: Path, remembered: bool) -> None:
+    def __init__(self, path: Path, remembered: bool, found: bool = False) -> None:
         self.path = path
         self.log = path.with_name(path.name + ".log")
         self.remembered = remembered
+        self.found = found
         self.epoch = 0
+        self.all_known = False
         self.whole_size = 0  # bytes of the state as it was last written whole
         self.failed = False  # a line may stand there in part: nothing is added to it
 
-    async def begin(self, wall_ms: int) -> tuple[int, list[Change]]:
-        epoch, changes = self.read()
-        self.epoch = max(epoch + 1, wall_ms)
-        state: dict[str, dict[str, Any]] = {}
-        for topic, key, value in changes:
-            entries = state.setdefault(topic, {})
-            entries.pop(key, None)
-            if value is not None:
-                entries[key] = value
+    async def begin(self, wall_ms: int) -> Life:
+        before = self.read()
+        self.epoch = max(before.epoch + 1, wall_ms)
+        self.all_known = before.all_known
         self.path.parent.mkdir(parents=True, exist_ok=True)
-        await self.write_whole(self.encoded(state))
-        return self.epoch, [
-            (topic, key, value) for topic, kept in state.items() for key, value in kept.items()
-        ]
+        await self.write_whole(self.encoded(before.topics))
+        return Life(self.epoch, before.topics, self.all_known)
 
-    def read(self) -> tuple[int, list[Change]]:
+    def read(self) -> Life:
         data = FileMemory(self.path).load()
         if data is None:
-            return 0, []
+            return Life(0, {}, self.remembered and self.found)
         try:
-            told = check(decode(data), {"epoch": int, "topics": dict})
+            told = check(decode(data), {"epoch": int, "topics": dict, "all_known": bool})
             topics = typed(told["topics"], dict[str, dict[str, Any]])
-            changes = [(topic, key, value) for topic, kept in topics.items() for key, value in kept.items()]
             if self.remembered and self.log.exists():
                 *lines, _ = self.log.read_bytes().split(b"\n")  # half of a last line was never answered
                 for line in lines:
-                    said = check(decode(line), {"epoch": int, "changes": list})
+                    said = check(decode(line), {"epoch": int, "changes": list, "whole": list})
                     if said["epoch"] == told["epoch"]:
-                        changes += typed(said["changes"], list[Change])
+                        changes, whole = typed(said["changes"], list[Change]), typed(said["whole"], list[str])
+                        replay(topics, changes, whole)
         except NotUnderstood as fault:
             raise Damaged(f"{self.path} is damaged: {fault}") from None
-        return told["epoch"], changes if self.remembered else []
+        if not self.remembered:
+            return Life(told["epoch"], {}, False)
+        return Life(told["epoch"], topics, told["all_known"])
 
     def encoded(self, state: State) -> bytes:
         kept = state if self.remembered else {}
-        return msgspec.json.encode({"v": VERSION, "epoch": self.epoch, "topics": kept})
+        all_known = self.remembered and self.all_known
+        return msgspec.json.encode(
+            {"v": VERSION, "epoch": self.epoch, "all_known": all_known, "topics": kept}
+        )
 
     async def write_whole(self, data: bytes) -> None:
         """A crash on the way leaves lines that are held already, or that are of an earlier life."""
@@ -114,10 +138,11 @@
         with self.log.open("wb") as file:
             os.fsync(file.fileno())
 
-    async def append(self, changes: list[Change], state: States) -> None:
+    async def append(self, changes: list[Change], whole: Collection[str], state: States) -> None:
         if not self.remembered:
             return
-        line = msgspec.json.encode({"v": VERSION, "epoch": self.epoch, "changes": changes}) + b"\n"
+        told = {"v": VERSION, "epoch": self.epoch, "changes": changes, "whole": sorted(whole)}
+        line = msgspec.json.encode(told) + b"\n"
         with anyio.CancelScope(shield=True):
             size = await anyio.to_thread.run_sync(self.write_line, line)
             if size > max(LOG_LEAST, 2 * self.whole_size):
--- a/gullmount/relays/source.py
+++ b/gullmount/relays/source.py
@@ -1,7 +1,7 @@
 """The source: holds all topics, counts their changes, and tells them to relays.
 
-A change is kept, then counted, then told. A source that does not remember its state tells nothing of a topic
-until it was told all of it in this life: half a list must not pass for the whole.
+A change is kept, then counted, then told. A source that does not know its state, as it remembers none or its
+file is blank, tells nothing of a topic until it was told all of it: half a list must not pass for the whole.
 """
 
 from __future__ import annotations
@@ -32,7 +32,7 @@
 
 
 class NotWhole(Exception):
-    """Changes of a topic of which this life was not told all yet."""
+    """Changes of a topic of which this source was not told all yet."""
 
 
 class Source(Serving):
@@ -64,6 +64,7 @@
             wall=wall,
         )
         self.sums = Sums()
+        self.all_known = False  # whether a topic that is not held is empty; else it is not known
         self.begun = anyio.Event()
         self.changing = anyio.Lock()  # changes are on the disk in the order of their revisions
 
@@ -75,10 +76,15 @@
             await self.net.serve(self.terms.listen, self.connected, started)
 
     async def begin(self) -> None:
-        epoch, changes = await self.kept.begin(int(self.wall() * 1000))
-        self.topics.as_of = self.topics.seen = Version(epoch, 0)
-        self.topics.change(changes)
-        self.log("begun", epoch=epoch, topics=len(self.topics.held), entries=len(changes))
+        life = await self.kept.begin(int(self.wall() * 1000))
+        self.all_known = life.all_known
+        self.topics.as_of = self.topics.seen = Version(life.epoch, 0)
+        self.topics.change(
+            (topic, key, value) for topic, held in life.topics.items() for key, value in held.items()
+        )
+        for topic in life.topics:
+            self.topics.open(topic)
+        self.log("begun", epoch=life.epoch, topics=len(life.topics), all_known=life.all_known)
         self.begun.set()
 
     # Changes
@@ -102,7 +108,7 @@
             if held is not None:
                 told |= dict.fromkeys(((topic, key) for key in held.live), None)
         for topic, key, value in changes:
-            if not self.terms.remembered and topic not in whole and topic not in self.topics.held:
+            if not self.all_known and topic not in whole and topic not in self.topics.held:
                 raise NotWhole(f"{topic}: this source was not told all of it yet")
             told[topic, key] = self.dated(topic, key, value) if topic.startswith("boxes/") else value
         self.look_at_sizes(told)
@@ -140,7 +146,7 @@
         """Raises NotWhole, TooLarge, OSError: nothing was told then."""
         async with self.changing:
             told = self.completed(changes, whole)
-            await self.kept.append(told, self.state)
+            await self.kept.append(told, {*whole, *(topic for topic, _, _ in told)}, self.state)
             return self.change(told, whole)
 
     def state(self) -> dict[str, dict[str, msgspec.Raw]]:
@@ -189,8 +195,8 @@
             raise NotUnderstood("follower: no relay of this source, or of another zone")
 
     def wanted(self, topics: Collection[str]) -> None:
-        """One who remembers knows that a topic without entries is empty."""
-        if self.terms.remembered:
+        """One who knows all knows that a topic without entries is empty."""
+        if self.all_known:
             new = [topic for topic in topics if topic not in self.topics.held]
             for topic in new:
                 self.topics.open(topic)
@@ -200,5 +206,5 @@
         """Topics that were asked for and never had an entry: names that someone made up are not kept."""
         for topic in topics:
             held = self.topics.held.get(topic)
-            if self.terms.remembered and held is not None and not held.version.revision:
+            if self.all_known and held is not None and not held.version.revision:
                 del self.topics.held[topic]
