Fleets on one machine: hollow umpires of today's way, its list service, checks, report

The target's size has never been played: whether news reaches 7,300 umpires is known from the module alone. The relays' way is not there yet.

--- /dev/null
+++ b/gullmount/commands/scale_runs.py
@@ -0,0 +1,101 @@
+"""Fleets on this machine: played, and their results told again."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+from rich.console import Console
+
+from gullmount.commands.files import BAD_INPUT, BROKEN, Path_, loaded
+from gullmount.reports.scale import plot, summary, tables
+from gullmount.scale.fleet.terms import FleetTerms, Way
+
+RESULTS = "results.json"
+CHART = "results.png"
+
+
+@click.command("run")
+@click.argument("file", type=Path_)
+@click.option("--seed", type=int, required=True, help="Draws the fleet and its changes.")
+@click.option("--out", type=Path_, required=True, help="Folder for the record, results.json and the chart.")
+@click.option("--umpires", type=click.IntRange(1), default=None, help="Another size, the rest in proportion.")
+@click.option(
+    "--way", type=click.Choice(["whole", "relays"]), default=None, help="Only this one of the file's."
+)
+@click.option("--data", type=Path_, default=None, help="Write the part that the capacity page takes here.")
+@click.option("--json", "as_json", is_flag=True, help="The results as JSON on standard output.")
+def run(
+    file: Path,
+    seed: int,
+    out: Path,
+    umpires: int | None,
+    way: Way | None,
+    data: Path | None,
+    as_json: bool,
+) -> None:
+    """Play the fleet of FILE on this machine and hold its record against the checks.
+
+    Loopback only; it ends by itself, and its processes with it. Exit code 0 with all checks held, 1 with one
+    broken, 2 for bad input. Timings are told, not judged.
+
+    \b
+    gullmount scale run days/scale/small.yaml --seed 7 --out /tmp/small
+    gullmount scale run days/scale/target.yaml --seed 7 --umpires 2300 --out /tmp/target-2300
+    """
+    from gullmount.scale.fleet.run import run as play  # noqa: PLC0415 (it loads what `report` does without)
+
+    terms = loaded(file, FleetTerms)
+    try:
+        if umpires is not None:
+            terms = terms.sized(umpires)
+    except ValueError as fault:
+        click.echo(f"--umpires {umpires}: {fault}", err=True)
+        sys.exit(BAD_INPUT)
+    if way is not None:
+        terms = terms.model_copy(update={"ways": [way]})
+    command = f"gullmount scale run {file} --seed {seed}"
+    command += f" --umpires {umpires}" if umpires is not None else ""
+    command += f" --way {way}" if way is not None else ""
+    console = Console(stderr=True)
+    try:
+        made = play(terms, seed, out, lambda text: console.print(text, markup=False), command)
+        if data is not None:
+            data.write_text(json.dumps(summary(made), indent=1) + "\n")
+        plot(made, out / CHART)
+    except OSError as fault:
+        click.echo(f"{fault.filename or out}: {fault.strerror}", err=True)
+        sys.exit(BAD_INPUT)
+    tell(made, as_json)
+
+
+@click.command("report")
+@click.argument("folder", type=Path_)
+@click.option("--data", type=Path_, default=None, help="Write the part that the capacity page takes here.")
+@click.option("--json", "as_json", is_flag=True, help="The results as JSON on standard output.")
+def report(folder: Path, data: Path | None, as_json: bool) -> None:
+    """Tell the results of the run in FOLDER again, and draw its chart anew."""
+    try:
+        made = json.loads((folder / RESULTS).read_text())
+        if data is not None:
+            data.write_text(json.dumps(summary(made), indent=1) + "\n")
+        plot(made, folder / CHART)
+    except (OSError, ValueError) as fault:
+        click.echo(f"{folder}: {fault}", err=True)
+        sys.exit(BAD_INPUT)
+    tell(made, as_json)
+
+
+def tell(made: dict[str, Any], as_json: bool) -> None:
+    """And end: with 0 where all checks held."""
+    if as_json:
+        click.echo(json.dumps(made))
+    else:
+        console = Console()
+        for table in tables(made):
+            console.print(table)
+    held = all(check["held"] for one in made["runs"] for check in one["checks"])
+    sys.exit(0 if held else BROKEN)
--- /dev/null
+++ b/gullmount/scale/fleet/hollow.py
@@ -0,0 +1,115 @@
+"""A process of hollow umpires: many of them, each with its own state, clients and connections.
+
+Ordered by `go` (begin to follow), `expect` (a file of versions that all must have come to), `report` (write
+what was heard) and `quit`; tells each second what they counted.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from array import array
+from collections import Counter
+from collections.abc import Callable
+from importlib import import_module
+from pathlib import Path
+from typing import Any, Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+
+from gullmount.net import TcpNet
+from gullmount.scale.fleet.child import Orders, Told, each_second, main, say
+from gullmount.scale.fleet.counting import CountedNet
+from gullmount.scale.fleet.drawn import Drawn
+from gullmount.scale.fleet.heard import Heard
+from gullmount.scale.fleet.terms import FleetTerms
+
+START_IN = 2.0  # s over which one process's umpires begin, evenly: as fast as machines are switched on here
+
+
+class Hollow(Protocol):
+    """One umpire, of either way."""
+
+    heard: Heard
+    net: CountedNet
+
+    def start(self, tasks: TaskGroup) -> None: ...
+
+    def report(self) -> dict[str, Any]: ...
+
+
+def maker(told: Told) -> Callable[..., Hollow]:
+    """Each way's clients are loaded where they are played only."""
+    made: Callable[..., Hollow] = import_module(f"gullmount.scale.fleet.hollow_{told['way']}").Hollow
+    return made
+
+
+class Fleet:
+    """All hollow umpires of one process."""
+
+    def __init__(self, told: Told) -> None:
+        self.told = told
+        terms = FleetTerms.model_validate(told["terms"])
+        drawn = Drawn(terms, told["seed"])
+        self.troubles: Counter[str] = Counter()
+        make, net = maker(told), TcpNet()
+        self.umpires = [make(one, terms, net, told, self.troubles) for one in drawn.hollow(told["part"])]
+        self.before = [0] * len(self.umpires)
+        self.expected: dict[str, list[int]] | None = None
+
+    async def start(self, tasks: TaskGroup) -> None:
+        for one in self.umpires:
+            one.start(tasks)
+            await anyio.sleep(START_IN / len(self.umpires))
+
+    def tell(self) -> None:
+        now = [one.net.bytes_in + one.net.bytes_out for one in self.umpires]
+        steps = [new - old for new, old in zip(now, self.before, strict=True)]
+        self.before = now
+        most = max(range(len(steps)), key=steps.__getitem__)
+        say(
+            t=time.monotonic(),
+            bytes_in=sum(one.net.bytes_in for one in self.umpires),
+            bytes_out=sum(one.net.bytes_out for one in self.umpires),
+            most=steps[most],
+            most_at=self.umpires[most].heard.name,
+            synced=sum(one.heard.synced_at > 0 for one in self.umpires),
+            behind=None
+            if self.expected is None
+            else sum(one.heard.behind(self.expected) for one in self.umpires),
+            troubles=dict(self.troubles.most_common(20)),
+        )
+
+    def write(self, folder: Path) -> None:
+        part, applied = self.told["part"], array("d")
+        lines = []
+        for one in self.umpires:
+            applied.extend(one.heard.applied)
+            marks = [[mark.address, mark.opened, mark.heard, mark.ended] for mark in one.net.marks]
+            counted = {"bytes_in": one.net.bytes_in, "bytes_out": one.net.bytes_out, "marks": marks}
+            lines.append(json.dumps(one.report() | counted))
+        (folder / f"hollow-{part}.jsonl").write_text("\n".join(lines) + "\n")
+        (folder / f"hollow-{part}.applied").write_bytes(applied.tobytes())
+
+
+async def program(told: Told, wanted: Orders) -> None:
+    fleet = Fleet(told)
+    say(ready=True, umpires=len(fleet.umpires))
+    async with anyio.create_task_group() as tasks:
+        async for order in wanted:
+            if order == "go":
+                tasks.start_soon(fleet.start, tasks)
+                tasks.start_soon(each_second, fleet.tell)
+            elif order == "expect":
+                fleet.expected = json.loads((Path(told["folder"]) / "expected.json").read_text())
+            elif order == "report":
+                fleet.write(Path(told["folder"]))
+                say(reported=True)
+            elif order == "quit":
+                break
+        tasks.cancel_scope.cancel()
+
+
+if __name__ == "__main__":
+    main(program)
--- /dev/null
+++ b/gullmount/scale/fleet/hollow_whole.py
@@ -0,0 +1,85 @@
+"""A hollow umpire, today's way: the platform's own clients of list and control service with the decision
+module behind them, on real sockets; no listener, no traffic."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from typing import Any
+
+from anyio.abc import TaskGroup
+
+from gullmount.interface import ListKind
+from gullmount.net import Net
+from gullmount.platform.control import ControlService
+from gullmount.platform.discovery import Discovery, Page
+from gullmount.platform.entrance import PlatformEntrance
+from gullmount.platform.serving import monotonic
+from gullmount.profile import decode_grounds, decode_socket_terms
+from gullmount.scale.fleet.counting import CountedNet
+from gullmount.scale.fleet.drawn import BUILD, DrawnUmpire, digest_boxes
+from gullmount.scale.fleet.heard import WHOLE, Heard
+from gullmount.scale.fleet.settings import SOCKETS, settings
+from gullmount.scale.fleet.terms import FleetTerms
+from gullmount.umpire.host import DirectHost
+
+
+class NotingDiscovery(Discovery):
+    """The platform's own, which notes what it heard once that is in force."""
+
+    def __init__(self, noted: Heard, *given: Any) -> None:
+        self.noted = noted
+        super().__init__(*given)
+
+    def hear(self, page: Page, kind: ListKind) -> None:
+        super().hear(page, kind)
+        if kind is ListKind.FULL or page.members:
+            self.noted.note(WHOLE, 0, page.revision)
+        self.noted.synced_at = self.noted.synced_at or time.monotonic()
+
+
+class Hollow:
+    def __init__(
+        self, drawn: DrawnUmpire, terms: FleetTerms, net: Net, told: dict[str, Any], troubles: Counter[str]
+    ) -> None:
+        self.heard = Heard(drawn.name, drawn.zone, [WHOLE])
+        self.net = CountedNet(net)
+        self.profile = settings(drawn, terms)
+        self.discovery_at = told["labelled"].get(drawn.name, told["discovery"])
+        self.control_at = told["control"]
+        self.troubles = troubles
+        self.seed = told["seed"] * 1_000_003 + drawn.number
+
+    def log(self, event: str, **fields: Any) -> None:
+        self.troubles[f"{event}: {fields.get('why', '')}"[:80]] += 1
+
+    def start(self, tasks: TaskGroup) -> None:
+        grounds = decode_grounds(self.seed, self.profile)
+        sockets = decode_socket_terms(self.profile)
+        entrance = PlatformEntrance(grounds, sockets, SOCKETS, monotonic)
+        self.host = DirectHost(entrance, grounds, self.net, tasks, self.log, monotonic)
+        self.discovery = NotingDiscovery(
+            self.heard, self.host, entrance, self.net, self.discovery_at, time.time
+        )
+        control = ControlService(self.host, self.net, self.control_at, sockets.vote_within)
+        self.host.on_vote = control.vote
+        self.host.on_subscribe = self.discovery.ask
+        self.discovery.ask()
+        tasks.start_soon(control.watch)
+
+    def report(self) -> dict[str, Any]:
+        discovery = self.discovery
+        rows = [
+            (
+                box.id,
+                discovery.entrance.addresses[box.id],
+                box.zone,
+                box.cell,
+                box.ready,
+                box.build,
+                round((box.started - discovery.ahead) * 1000),
+            )
+            for box in self.host.umpire.boxes.values()
+        ]
+        assert all(row[5] == BUILD for row in rows)
+        return self.heard.as_told({WHOLE: digest_boxes(rows)}, revision=discovery.revision)
