--- a/gullmount/scale/fleet/checks.py
+++ b/gullmount/scale/fleet/checks.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
@@ -45,7 +44,7 @@
         nothing_lost(record, drawn),
         nothing_older(record),
         nothing_unasked(record, drawn),
-        *sums(record, drawn),
+        *([sum_agrees(record, drawn)] if record.way == "relays" else []),
         all_ended(record),
         nothing_left(record),
     ]
@@ -121,10 +120,8 @@
     return check
 
 
-def sums(record: Record, drawn: Drawn) -> Iterator[Check]:
-    """The source's own sum against the truth of the run, where there is one."""
-    if record.way == "whole":
-        return
+def sum_agrees(record: Record, drawn: Drawn) -> Check:
+    """The source's own sum against the truth of the run: all that were drawn are there and have all."""
     check = Check("the source's sum agrees")
     zones: dict[str, Any] = (record.in_force or {}).get("zones", {})
     versions = [tuple(one["version"]) for one in record.changes if one["version"] is not None]
@@ -132,19 +129,17 @@
     for zone in drawn.zones:
         check.on += 1
         followers = sum(one.zone == zone for one in drawn.umpires)
-        told = zones.get(zone)
-        if told is None:
-            check.fault(f"zone {zone} is not in the sum")
-            continue
-        if told["followers"] != followers:
-            check.fault(f"zone {zone}: {told['followers']} followers told, {followers} there")
-        if tuple(told["lowest"]) < last:
-            check.fault(f"zone {zone}: in force up to {told['lowest']}, though all hold {list(last)}")
-        if told["behind"] or told["unable"]:
-            check.fault(f"zone {zone}: some are told as behind or unable, though all hold the newest")
+        told = zones.get(zone, {})
+        if told.get("followers", 0) != followers:
+            check.fault(f"zone {zone}: {told.get('followers', 0)} followers told, {followers} there")
+        if tuple(told.get("lowest") or ()) < last:
+            check.fault(f"zone {zone}: in force up to {told.get('lowest')}, though all hold {list(last)}")
+        for what in ("starting", "behind", "unable", "gone"):
+            if told.get(what, 0):
+                check.fault(f"zone {zone}: {told[what]} told as {what}, though all hold the newest")
     for zone in zones.keys() - set(drawn.zones):
         check.fault(f"zone {zone} in the sum is not there")
-    yield check
+    return check
 
 
 def all_ended(record: Record) -> Check:
--- a/gullmount/scale/fleet/counting.py
+++ b/gullmount/scale/fleet/counting.py
@@ -29,6 +29,7 @@
 class CountedStream(ByteStream):
     def __init__(self, net: CountedNet, stream: Stream, mark: Mark) -> None:
         self.net, self.stream, self.mark = net, stream, mark
+        self.tally = net.by_address.setdefault(mark.address, [0, 0])
 
     async def receive(self, max_bytes: int = 65536) -> bytes:
         try:
@@ -39,11 +40,13 @@
             self.mark.ended = self.mark.ended or time.monotonic()
             raise
         self.net.bytes_in += len(data)
+        self.tally[0] += len(data)
         self.mark.heard = self.mark.heard or time.monotonic()
         return data
 
     async def send(self, item: bytes) -> None:
         self.net.bytes_out += len(item)
+        self.tally[1] += len(item)
         await self.stream.send(item)
 
     async def send_eof(self) -> None:
@@ -59,10 +62,12 @@
 
 
 class CountedNet:
-    """One party's view of a network; lives as long as the party."""
+    """One party's view of a network; lives as long as the party. `by_address` sums up bytes in and out by
+    whom it connected to, for all parties that share it."""
 
-    def __init__(self, net: Net) -> None:
+    def __init__(self, net: Net, by_address: dict[str, list[int]]) -> None:
         self.net = net
+        self.by_address = by_address
         self.bytes_in = 0
         self.bytes_out = 0
         self.marks: list[Mark] = []
--- a/gullmount/scale/fleet/drawn.py
+++ b/gullmount/scale/fleet/drawn.py
@@ -74,7 +74,7 @@
             "state": self.state,
             "power": 1.0,
             "start": f"life-{self.life}",
-            "age": 3600.0,
+            "since": (STARTED + self.life) / 1000,
         }
 
     def as_row(self) -> Row:
--- a/gullmount/scale/fleet/hollow.py
+++ b/gullmount/scale/fleet/hollow.py
@@ -36,6 +36,9 @@
 
     def start(self, tasks: TaskGroup) -> None: ...
 
+    def counts(self) -> dict[str, int]:
+        """What its client counted so far."""
+
     def report(self) -> dict[str, Any]: ...
 
 
@@ -53,8 +56,12 @@
         terms = FleetTerms.model_validate(told["terms"])
         drawn = Drawn(terms, told["seed"])
         self.troubles: Counter[str] = Counter()
-        make, net = maker(told), TcpNet()
-        self.umpires = [make(one, terms, net, told, self.troubles) for one in drawn.hollow(told["part"])]
+        self.by_address: dict[str, list[int]] = {}
+        make, net, troubles = maker(told), TcpNet(), self.troubles
+        self.umpires = [
+            make(one, terms, CountedNet(net, self.by_address), told, troubles)
+            for one in drawn.hollow(told["part"])
+        ]
         self.before = [0] * len(self.umpires)
         self.expected: dict[str, list[int]] | None = None
 
@@ -68,6 +75,9 @@
         steps = [new - old for new, old in zip(now, self.before, strict=True)]
         self.before = now
         most = max(range(len(steps)), key=steps.__getitem__)
+        counts: Counter[str] = Counter()
+        for one in self.umpires:
+            counts.update(one.counts())
         say(
             t=time.monotonic(),
             bytes_in=sum(one.net.bytes_in for one in self.umpires),
@@ -79,6 +89,8 @@
             if self.expected is None
             else sum(one.heard.behind(self.expected) for one in self.umpires),
             troubles=dict(self.troubles.most_common(20)),
+            by_address=self.by_address,
+            **counts,
         )
 
     def write(self, folder: Path) -> None:
--- a/gullmount/scale/fleet/hollow_whole.py
+++ b/gullmount/scale/fleet/hollow_whole.py
@@ -10,7 +10,6 @@
 from anyio.abc import TaskGroup
 
 from gullmount.interface import ListKind
-from gullmount.net import Net
 from gullmount.platform.control import ControlService
 from gullmount.platform.discovery import Discovery, Page
 from gullmount.platform.entrance import PlatformEntrance
@@ -40,10 +39,15 @@
 
 class Hollow:
     def __init__(
-        self, drawn: DrawnUmpire, terms: FleetTerms, net: Net, told: dict[str, Any], troubles: Counter[str]
+        self,
+        drawn: DrawnUmpire,
+        terms: FleetTerms,
+        net: CountedNet,
+        told: dict[str, Any],
+        troubles: Counter[str],
     ) -> None:
         self.heard = Heard(drawn.name, drawn.zone, [WHOLE])
-        self.net = CountedNet(net)
+        self.net = net
         self.profile = settings(drawn, terms)
         self.discovery_at = told["labelled"].get(drawn.name, told["discovery"])
         self.control_at = told["control"]
@@ -53,6 +57,9 @@
     def log(self, event: str, **fields: Any) -> None:
         self.troubles[f"{event}: {fields.get('why', '')}"[:80]] += 1
 
+    def counts(self) -> dict[str, int]:
+        return {}
+
     def start(self, tasks: TaskGroup) -> None:
         grounds = decode_grounds(self.seed, self.profile)
         sockets = decode_socket_terms(self.profile)
