--- a/gullmount/reports/scale.py
+++ b/gullmount/reports/scale.py
@@ -17,7 +17,7 @@
 APART = {
     "cores": "the real one's loop wakes for itself alone, where hollow ones in one process share each turn",
     "resident": "the real one brings an interpreter and modules, which hollow ones share: base",
-    "list_bytes_a_second": "they ask at other moments: changes come together otherwise",
+    "bytes_a_second": "they ask at other moments: changes come together otherwise",
     "in_force_median": "hollow ones take turns in one process: the last waits for all the others",
     "in_force_p99": "hollow ones take turns in one process: the last waits for all the others",
 }
@@ -120,13 +120,12 @@
     units = {
         "cores": "%",
         "resident": "B",
-        "list_bytes_a_second": "B",
+        "bytes_a_second": "B",
         "in_force_median": "s",
         "in_force_p99": "s",
     }
-    count = told["umpires"]
     made = table(
-        f"{title}: {count['hollow']} hollow beside {count['real']} real", "", "hollow", "real", "why apart"
+        f"{title}: hollow umpires beside {told['real']} real ones", "", "hollow", "real", "why apart"
     )
     for name, unit in units.items():
         pair = told[name]
--- a/gullmount/scale/fleet/course.py
+++ b/gullmount/scale/fleet/course.py
@@ -96,8 +96,12 @@
         path = self.file(name, common | told)
         return self.members.start(role, name, [f"{CHILDREN}.{module}", str(path)])
 
-    def start_control(self) -> None:
-        self.child("control", "control", "lists", serves="control", host=self.host(OURS), port=CONTROL_PORT)
+    async def start_control(self, serves: str) -> None:
+        """What tells umpires of builds, which nothing here is measured of: `control` or `launcher`."""
+        told = {"serves": serves, "host": self.host(OURS), "port": CONTROL_PORT}
+        member = self.child("control", "control", "lists", **told)
+        self.tasks.start_soon(member.hear)
+        await member.told("ready", READY_WITHIN)
 
     async def all_told(self, members: list[Member], word: str, within: float) -> None:
         for member in members:
@@ -136,6 +140,9 @@
             self.tasks.start_soon(member.hear)
         await self.all_told([*hollow, changer], "ready", READY_WITHIN)
         self.record.sizes = {member.name: member.last["umpires"] for member in hollow}
+        self.record.light = {
+            f"hollow-{part}" for part in range(self.terms.parts_with_module, self.terms.hollow_processes)
+        }
         self.changer = changer
         await self.load()
         await anyio.sleep(STANDING)
@@ -165,7 +172,7 @@
         self.progress(f"{len(self.drawn.schedule)} changes over {self.terms.length:.0f} s")
         self.changer.order("go")
         self.record.began = await self.changer.told("began", READY_WITHIN)
-        for fault in self.terms.faults:
+        for fault in self.terms.faults if self.way == "relays" else ():
             self.tasks.start_soon(self.fail, fault)
         await self.changer.told("done", self.terms.length + OVERRUN)
         with (self.folder / "changes.jsonl").open() as file:
@@ -221,7 +228,7 @@
         for member in hollow:
             with (self.folder / f"{member.name}.jsonl").open() as file:
                 told = [json.loads(line) for line in file if line.strip()]
-            record.umpires += told
+            record.umpires += [one | {"process": member.name} for one in told]
             data = (self.folder / f"{member.name}.applied").read_bytes()
             record.applied += rows(data, [one["applied"] for one in told])
         acks = self.folder / "acks.json"
@@ -232,6 +239,10 @@
         """Umpires first, then what they follow."""
         for roles in ((HOLLOW, REAL, "changer"), (RELAY,), (SOURCE, LISTS, "control")):
             self.record.codes |= await self.members.end(self.members.of(*roles))
+        for report in sorted(self.folder.glob("real-*.report")):
+            told = json.loads(report.read_text())
+            self.record.real_umpires.append(told)
+            self.record.real_applied += rows(report.with_suffix(".applied").read_bytes(), [told["applied"]])
 
     async def look_back(self) -> None:
         """What is left once all have ended, and what was sampled of them."""
--- a/gullmount/scale/fleet/hollow.py
+++ b/gullmount/scale/fleet/hollow.py
@@ -44,7 +44,7 @@
 
 def maker(told: Told) -> Callable[..., Hollow]:
     """Each way's clients are loaded where they are played only."""
-    made: Callable[..., Hollow] = import_module(f"gullmount.scale.fleet.hollow_{told['way']}").Hollow
+    made: Callable[..., Hollow] = import_module(f"gullmount.scale.fleet.hollow_{told['way']}").hollow
     return made
 
 
--- a/gullmount/scale/fleet/hollow_relays.py
+++ b/gullmount/scale/fleet/hollow_relays.py
@@ -1,5 +1,6 @@
-"""A hollow umpire that follows relays: the real follower on real sockets, and what it was told; no listener,
-no traffic."""
+"""A hollow umpire that follows relays: the real one with all that it holds, on real sockets, but for its
+listener and traffic; or its follower alone with what that is told, as no machine holds all of them whole.
+"""
 
 from __future__ import annotations
 
@@ -9,15 +10,20 @@
 from random import Random
 from typing import Any
 
+import anyio
 from anyio.abc import TaskGroup
 
 from gullmount.relays.follower import Follower
 from gullmount.relays.following import Heard as HeardLine
 from gullmount.relays.following import RelayAt
+from gullmount.relays.terms import RelayedUmpireTerms
+from gullmount.relays.umpire import RelayedUmpire
 from gullmount.scale.fleet.counting import CountedNet
 from gullmount.scale.fleet.drawn import DrawnUmpire, digest
 from gullmount.scale.fleet.heard import Heard
+from gullmount.scale.fleet.settings import umpire_file
 from gullmount.scale.fleet.terms import FleetTerms
+from gullmount.umpire import RunningUmpire
 
 COUNTED = (
     "snapshots",
@@ -30,23 +36,64 @@
     "lower_epoch",
     "messages",
 )
+NOT_TROUBLES = ("follows", "leaves", "judge")
+NEVER_LISTENS = "127.0.0.1:1"  # named in the terms, as they need one
 
 
-class NotingFollower(Follower):
-    """The real one, which notes what it heard once that is in force."""
+def note(follower: Follower, into: Heard) -> None:
+    """From now on what it hears is noted, once that is in force."""
+    took = follower.took
 
-    noted: Heard
-
-    def took(self, heard: HeardLine) -> None:
-        super().took(heard)
+    def noting(heard: HeardLine) -> None:
+        took(heard)
         for news in heard.news:
-            if self.reports.in_force.get(news.topic) == news.version:
-                self.noted.note(news.topic, *news.version)
-        if self.synced.is_set():
-            self.noted.synced_at = self.noted.synced_at or time.monotonic()
+            if follower.reports.in_force.get(news.topic) == news.version:
+                into.note(news.topic, *news.version)
+        if follower.synced.is_set():
+            into.synced_at = into.synced_at or time.monotonic()
+
+    follower.took = noting  # type: ignore[method-assign]
+
+
+class OnRelays:
+    """What both kinds share."""
+
+    follower: Follower | None = None  # there once it has begun
+
+    def __init__(self, drawn: DrawnUmpire, net: CountedNet, troubles: Counter[str]) -> None:
+        self.heard = Heard(drawn.name, drawn.zone, drawn.topics)
+        self.net = net
+        self.troubles = troubles
+
+    def log(self, event: str, **fields: Any) -> None:
+        if event not in NOT_TROUBLES:
+            self.troubles[f"{event}: {fields.get('why', '')}"[:80]] += 1
+
+    def start(self, tasks: TaskGroup) -> None:
+        tasks.start_soon(self.run)
+
+    async def run(self) -> None:
+        raise NotImplementedError
+
+    def held(self) -> dict[str, Any]:
+        """By topic its entries."""
+        raise NotImplementedError
+
+    def counts(self) -> dict[str, int]:
+        follower = self.follower
+        return {name: getattr(follower.counts, name) if follower else 0 for name in COUNTED}
+
+    def report(self) -> dict[str, Any]:
+        counts = self.counts()
+        self.heard.unasked += counts["unasked"]
+        return self.heard.as_told(
+            {topic: digest(entries) for topic, entries in self.held().items()}, **counts
+        )
 
 
-class Hollow:
+class HollowUmpire(OnRelays):
+    """With module, routes and launcher's news."""
+
     def __init__(
         self,
         drawn: DrawnUmpire,
@@ -55,11 +102,51 @@
         told: dict[str, Any],
         troubles: Counter[str],
     ) -> None:
-        self.heard = Heard(drawn.name, drawn.zone, drawn.topics)
-        self.net = net
-        self.troubles = troubles
+        super().__init__(drawn, net, troubles)
+        seed = Random(f"{told['seed']} {drawn.name}").getrandbits(60)
+        file = umpire_file(drawn, terms, NEVER_LISTENS, told["relays"], told["launcher"], seed)
+        made = RelayedUmpireTerms.model_validate(file)
+        running = RunningUmpire(made.without_roster(), net=net, log=self.log)
+        self.umpire = RelayedUmpire(made, running, running, net=net, log=self.log)
+        self.umpire.listen = anyio.sleep_forever
+
+    async def run(self) -> None:
+        async with self.umpire as umpire:
+            self.follower = umpire.follower
+            note(umpire.follower, self.heard)
+            await anyio.sleep_forever()
+
+    def held(self) -> dict[str, Any]:
+        """As the module holds boxes, where it holds others than were told."""
+        umpire = self.umpire
+        module = umpire.running.host.umpire.boxes
+        out: dict[str, Any] = {f"config/{service}": value for service, value in umpire.values.items()}
+        for service, entries in umpire.boxes_of.items():
+            listed = {
+                box: value
+                for box, value in entries.items()
+                if box in module
+                and module[box].ready == (value["state"] == "ready")
+                and (module[box].zone, module[box].cell) == (value["zone"], value["cell"])
+            }
+            out[f"boxes/{service}"] = listed
+        return out
+
+
+class HollowFollower(OnRelays):
+    """Its follower and what that is told."""
+
+    def __init__(
+        self,
+        drawn: DrawnUmpire,
+        terms: FleetTerms,
+        net: CountedNet,
+        told: dict[str, Any],
+        troubles: Counter[str],
+    ) -> None:
+        super().__init__(drawn, net, troubles)
         self.entries: dict[str, dict[str, Any]] = {topic: {} for topic in drawn.topics}
-        self.follower = NotingFollower(
+        self.follower = Follower(
             name=drawn.name,
             zone=drawn.zone,
             relays=[RelayAt(address, zone) for address, zone in told["relays"]],
@@ -69,16 +156,11 @@
             apply=self,
             log=self.log,
         )
-        self.follower.noted = self.heard
-
-    def log(self, event: str, **fields: Any) -> None:
-        if event not in ("follows", "leaves"):
-            self.troubles[f"{event}: {fields.get('why', '')}"[:80]] += 1
+        note(self.follower, self.heard)
 
-    def start(self, tasks: TaskGroup) -> None:
-        tasks.start_soon(self.follower.run)
-
-    # What the follower puts in force
+    async def run(self) -> None:
+        assert self.follower is not None
+        await self.follower.run()
 
     def boxes(self, service: str, whole: bool, entries: Mapping[str, Any | None]) -> None:
         self.put(f"boxes/{service}", whole, entries)
@@ -96,13 +178,12 @@
             else:
                 held[key] = value
 
-    # What it tells of itself
+    def held(self) -> dict[str, Any]:
+        return self.entries
 
-    def counts(self) -> dict[str, int]:
-        return {name: getattr(self.follower.counts, name) for name in COUNTED}
 
-    def report(self) -> dict[str, Any]:
-        self.heard.unasked += self.follower.counts.unasked
-        return self.heard.as_told(
-            {topic: digest(held) for topic, held in self.entries.items()}, **self.counts()
-        )
+def hollow(
+    drawn: DrawnUmpire, terms: FleetTerms, net: CountedNet, told: dict[str, Any], troubles: Counter[str]
+) -> OnRelays:
+    made = HollowUmpire if told["part"] < terms.parts_with_module else HollowFollower
+    return made(drawn, terms, net, told, troubles)
--- a/gullmount/scale/fleet/hollow_whole.py
+++ b/gullmount/scale/fleet/hollow_whole.py
@@ -90,3 +90,6 @@
         ]
         assert all(row[5] == BUILD for row in rows)
         return self.heard.as_told({WHOLE: digest_boxes(rows)}, revision=discovery.revision)
+
+
+hollow = Hollow
--- a/gullmount/scale/fleet/lists.py
+++ b/gullmount/scale/fleet/lists.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from gullmount.scale.fleet.child import Orders, Told, each_second, main, say
-from gullmount.scale.fleet.drawn import Drawn
+from gullmount.scale.fleet.drawn import BUILD, Drawn
 from gullmount.scale.fleet.settings import NEWS
 from gullmount.scale.fleet.terms import FleetTerms
 
@@ -26,6 +26,8 @@
 SEND_BUFFER = 131072  # bytes that the machine holds of an answer: thousands of slow readers must not fill it
 BODY_MOST = 1 << 20  # bytes of a call that changes the list
 SIGN_EVERY = 1.0  # s between the control service's signs of life
+ALIVE_EVERY = 5.0  # s between the launcher's
+ALIVE = b'{"v":1,"kind":"alive"}\n'
 ANSWERS_KEPT = 256  # answers of one revision that are kept encoded, by what was asked after
 
 
@@ -244,16 +246,19 @@
 
 
 async def serve_control(told: Told, wanted: Orders) -> None:
+    """The platform's control service, or the launcher: a state and signs of life."""
     held: set[asyncio.Transport] = set()
     loop = asyncio.get_running_loop()
-    server = await loop.create_server(lambda: Notices(held), told["host"], told["port"], backlog=1024)
+    platform = told["serves"] == "control"
+    made, sign, every = (Notices, b"*\r\n", SIGN_EVERY) if platform else (News, chunk(ALIVE), ALIVE_EVERY)
+    server = await loop.create_server(lambda: made(held), told["host"], told["port"], backlog=1024)
     say(ready=True)
 
     async def signs() -> None:
         while True:
-            await anyio.sleep(SIGN_EVERY)
+            await anyio.sleep(every)
             for transport in list(held):
-                transport.write(b"*\r\n")
+                transport.write(sign)
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(signs)
@@ -264,6 +269,20 @@
         tasks.cancel_scope.cancel()
 
 
+class News(Notices):
+    """The launcher's watch: the state of the one build once, a sign now and then."""
+
+    def data_received(self, data: bytes) -> None:
+        told = {"build": BUILD, "stage": 2, "phase": "released", "cap": 1.0}
+        line = json.dumps({"v": 1, "news": told}).encode() + b"\n"
+        self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(line))
+        self.held.add(self.transport)
+
+
+def chunk(line: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(line), line)
+
+
 async def program(told: Told, wanted: Orders) -> None:
     await (serve_lists if told["serves"] == "lists" else serve_control)(told, wanted)
 
--- /dev/null
+++ b/gullmount/scale/fleet/real.py
@@ -0,0 +1,41 @@
+"""A real umpire that follows relays, as `gullmount umpire FILE` runs it, which notes when news came in force.
+
+Called with its file and the place of its report, which is written as it ends.
+"""
+
+from __future__ import annotations
+
+import json
+import runpy
+import sys
+from pathlib import Path
+
+from gullmount.relays import umpire as umpires
+from gullmount.relays.follower import Follower
+from gullmount.relays.messages import KINDS
+from gullmount.scale.fleet.heard import Heard
+from gullmount.scale.fleet.hollow_relays import note
+
+
+def main() -> None:
+    file, report = map(Path, sys.argv[1:3])
+    told = json.loads(file.read_text())
+    topics = [f"{kind}/{service}" for kind in KINDS for service in told["relays"]["services"]]
+    heard = Heard(f"umpire-{told['number']}", told["zone"], topics)
+
+    class Noting(Follower):
+        def __init__(self, **given: object) -> None:
+            super().__init__(**given)  # type: ignore[arg-type]
+            note(self, heard)
+
+    setattr(umpires, "Follower", Noting)  # noqa: B010 (the class that the umpire's module makes one of)
+    sys.argv = ["gullmount", "umpire", str(file)]
+    try:
+        runpy.run_module("gullmount", run_name="__main__")
+    finally:
+        report.with_suffix(".applied").write_bytes(heard.applied.tobytes())
+        report.write_text(json.dumps(heard.as_told({})))
+
+
+if __name__ == "__main__":
+    main()
--- a/gullmount/scale/fleet/seen.py
+++ b/gullmount/scale/fleet/seen.py
@@ -46,6 +46,9 @@
     )  # the same, what they told
     sizes: dict[str, int] = field(default_factory=dict)  # hollow umpires by process
     acks: list[tuple[str, int, float]] = field(default_factory=list)  # label, revision in force, when
+    light: set[str] = field(default_factory=set)  # hollow processes whose umpires are followers alone
+    real_umpires: list[dict[str, Any]] = field(default_factory=list)  # of real ones that note, their reports
+    real_applied: list[Floats] = field(default_factory=list)
     labels: dict[str, str] = field(default_factory=dict)  # umpire by label
     real: list[str] = field(default_factory=list)
     deaths: list[dict[str, Any]] = field(default_factory=list)  # relay, address, when
@@ -91,15 +94,17 @@
     return ranks * EPOCH_STEP + revisions.astype(np.int64)
 
 
-def spans(record: Record) -> tuple[dict[int, list[float]], int]:
-    """By the change's place in the schedule, the seconds until in force at each hollow umpire that follows
+def spans(
+    record: Record, umpires: Sequence[dict[str, Any]], applied: Sequence[Floats]
+) -> tuple[dict[int, list[float]], int]:
+    """By the change's place in the schedule, the seconds until in force at each of the umpires that follows
     it; and how often that never came."""
     by_topic: dict[str, list[dict[str, Any]]] = defaultdict(list)
     for one in carried(record):
         by_topic[told(one["topic"], record.way)].append(one)
     epochs = sorted(
         {float(one["version"][0]) for one in record.changes if one["version"]}
-        | {float(epoch) for rows in record.applied for epoch in np.unique(rows[:, 1])}
+        | {float(epoch) for rows in applied for epoch in np.unique(rows[:, 1])}
     )
     changes = {}
     for topic, made in by_topic.items():
@@ -112,7 +117,7 @@
         )
     out: dict[int, list[float]] = defaultdict(list)
     never = 0
-    for umpire, rows in zip(record.umpires, record.applied, strict=True):
+    for umpire, rows in zip(umpires, applied, strict=True):
         for number, topic in enumerate(umpire["topics"]):
             if topic not in changes:
                 continue
@@ -133,7 +138,7 @@
 
 def in_force(record: Record, drawn: Drawn) -> list[dict[str, Any]]:
     """By phase: times until in force, over all pairs of a change and an umpire that follows it."""
-    taken, never = spans(record)
+    taken, never = spans(record, record.umpires, record.applied)
     out = []
     for number, (_, phase) in enumerate(drawn.terms.begins()):
         mine = [index for index, change in enumerate(drawn.schedule) if change.phase == number]
@@ -225,10 +230,14 @@
     return before[-1] if before else 0
 
 
-def hollow_used(record: Record, since: float, until: float) -> dict[str, Any]:
-    """Of one hollow umpire: its process's figures, less what that held before it began, divided."""
+def hollow_used(record: Record, since: float, until: float, light: bool = False) -> dict[str, Any]:
+    """Of one hollow umpire: its process's figures, less what that held before it began, divided. `light`:
+    of those that are followers alone."""
     cores, resident, moved_, most = [], [], [], []
-    for name, samples in record.samples.get(HOLLOW, {}).items():
+    mine = {
+        name: one for name, one in record.samples.get(HOLLOW, {}).items() if (name in record.light) == light
+    }
+    for name, samples in mine.items():
         size, ground = record.sizes[name], base(record, name)
         for at, share, bytes_ in rates(samples):
             if since <= at <= until:
@@ -241,7 +250,7 @@
             if since <= line["t"] <= until:
                 most.append((float(line["most"]), line["t"] - record.went, line["most_at"]))
     return {
-        "umpires": sum(record.sizes.values()),
+        "umpires": sum(record.sizes[name] for name in mine),
         "cores": summed(cores),
         "resident": summed(resident),
         "bytes_a_second": summed(moved_),
@@ -251,7 +260,11 @@
 
 def roles(record: Record, since: float, until: float) -> dict[str, Any]:
     """What each role used between two times, one process or umpire of it."""
-    out = {"hollow umpire": hollow_used(record, since, until)}
+    out = {}
+    if record.light < record.sizes.keys():
+        out["hollow umpire"] = hollow_used(record, since, until)
+    if record.light:
+        out["hollow follower"] = hollow_used(record, since, until, light=True)
     for role in (REAL, RELAY, SOURCE, LISTS, "control"):
         if record.samples.get(role):
             out[role] = used(record, role, since, until)
@@ -361,10 +374,31 @@
 
 
 def compared(record: Record, since: float, until: float) -> dict[str, Any]:
-    """Hollow and real umpires side by side, on what the list service saw of both."""
-    sent = {one["version"][1]: one["sent"] for one in carried(record)}
-    if not record.real or not sent or until <= since:
+    """Hollow and real umpires side by side, whole ones both."""
+    if not record.real or until <= since or not record.light < record.sizes.keys():
         return {}
+    seen_of_both = compared_by_lists if record.way == "whole" else compared_by_notes
+    times, bytes_ = seen_of_both(record, since, until)
+    hollow, real = hollow_used(record, since, until), used(record, REAL, since, until)
+    return {
+        "cores": beside(hollow["cores"]["mean"], real["cores"]["mean"]),
+        "resident": beside(hollow["resident"]["mean"], real["resident"]["mean"]),
+        "bytes_a_second": beside(*bytes_),
+        "in_force_median": beside(times[False]["median"], times[True]["median"]),
+        "in_force_p99": beside(times[False]["p99"], times[True]["p99"]),
+        "base_of_a_hollow_process": mean([base(record, name) for name in record.sizes]),
+        "times_counted": {"hollow": times[False]["count"], "real": times[True]["count"]},
+        "real": len(record.real),
+    }
+
+
+Pair = tuple[float | None, float | None]  # hollow, real
+Times = dict[bool, dict[str, Any]]  # of real ones, and not
+
+
+def compared_by_lists(record: Record, since: float, until: float) -> tuple[Times, Pair]:
+    """Times until in force and bytes a second, as the list service saw of those that it tells apart."""
+    sent = {one["version"][1]: one["sent"] for one in carried(record)}
     last: dict[str, int] = {}
     taken: dict[bool, list[float]] = {True: [], False: []}
     for label, revision, at in record.acks:
@@ -382,17 +416,25 @@
             for label, umpire in record.labels.items():
                 grown = sum(within[-1]["by_label"][label]) - sum(within[0]["by_label"][label])
                 bytes_[umpire in record.real].append(grown / length)
-    hollow, real = hollow_used(record, since, until), used(record, REAL, since, until)
-    times = {which: told_times(histogram(spans)) for which, spans in taken.items()}
-    return {
-        "cores": beside(hollow["cores"]["mean"], real["cores"]["mean"]),
-        "resident": beside(hollow["resident"]["mean"], real["resident"]["mean"]),
-        "list_bytes_a_second": beside(mean(bytes_[False]), mean(bytes_[True])),
-        "in_force_median": beside(times[False]["median"], times[True]["median"]),
-        "in_force_p99": beside(times[False]["p99"], times[True]["p99"]),
-        "base_of_a_hollow_process": mean([base(record, name) for name in record.sizes]),
-        "umpires": {"hollow": len(record.labels) - len(record.real), "real": len(record.real)},
+    times = {which: told_times(histogram(spans_)) for which, spans_ in taken.items()}
+    return times, (mean(bytes_[False]), mean(bytes_[True]))
+
+
+def compared_by_notes(record: Record, since: float, until: float) -> tuple[Times, Pair]:
+    """The same, as umpires noted; bytes of real ones as the machine counted their connections."""
+    whole = [
+        (one, rows)
+        for one, rows in zip(record.umpires, record.applied, strict=True)
+        if one["process"] not in record.light
+    ]
+    hollow, _ = spans(record, [one for one, _ in whole], [rows for _, rows in whole])
+    real, _ = spans(record, record.real_umpires, record.real_applied)
+    times = {
+        which: told_times(histogram(span for one in taken.values() for span in one))
+        for which, taken in ((False, hollow), (True, real))
     }
+    of_hollow = hollow_used(record, since, until)["bytes_a_second"]["mean"]
+    return times, (of_hollow, moved(record, REAL, since, until)["mean"])
 
 
 def mean(values: Sequence[float]) -> float | None:
--- a/gullmount/scale/fleet/settings.py
+++ b/gullmount/scale/fleet/settings.py
@@ -1,7 +1,9 @@
-"""What a fleet's umpires are told at their start, today's way: the platform's configuration. No I/O."""
+"""What a fleet's umpires are told at their start: the platform's configuration, today's way; an umpire's
+file, where relays are followed. No I/O."""
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Any
 
 from gullmount.scale.fleet.drawn import BUILD, DrawnUmpire
@@ -70,3 +72,44 @@
         "platform": {"address": control, "news": NEWS},
         "settings": settings(umpire, terms),
     }
+
+
+def umpire_file(
+    umpire: DrawnUmpire,
+    terms: FleetTerms,
+    listen: str,
+    relays: Sequence[tuple[str, str]],
+    launcher: str,
+    seed: int,
+    connect_from: str | None = None,
+) -> dict[str, Any]:
+    """The file of `gullmount umpire`, or the same for a hollow one; `relays`: addresses and zones. The one
+    route is there as a file must have one: all others are told."""
+    return {
+        "number": umpire.number,
+        "of": terms.umpires,
+        "zone": umpire.zone,
+        "listen": listen,
+        "connect_from": connect_from,
+        "seed": seed,
+        "launcher": {"address": launcher},
+        "routes": [{"name": "own", "objective": 0.4, "timeout": 2.0, "repeats": "retriable"}],
+        "boxes": {"cold_share": 0.32, "warm_time": 2.0, "tip_multiple": 4.0, "max_tries": 4},
+        "releases": {
+            "caps": [0.05, 0.35, 1.0],
+            "window": 3.0,
+            "spare_tries": 2.0,
+            "vote_life": 10.0,
+            "to_advance": 1,
+            "back_votes": 1,
+            "votes_per_s": 50.0,
+        },
+        "relays": {
+            "switched_on": True,
+            "at": [
+                {"name": f"relay-{number}", "address": address, "zone": zone}
+                for number, (address, zone) in enumerate(relays)
+            ],
+            "services": list(umpire.services),
+        },
+    }
--- a/gullmount/scale/fleet/terms.py
+++ b/gullmount/scale/fleet/terms.py
@@ -52,6 +52,7 @@
     routes: Annotated[int, Field(ge=1, le=1000)]  # of a service's configuration
     real: Count  # umpires that are processes of their own, of `umpires`
     hollow_processes: PositiveInt
+    with_module: Count | None = None  # hollow umpires on relays that hold module and routes as real ones; all
     phases: Annotated[list[PhaseTerms], Field(min_length=1, max_length=20)]
     faults: list[FaultTerms] = []
     start_within: PositiveFloat  # s for all umpires to have heard all they follow; the run ends there if not
@@ -67,6 +68,8 @@
             raise ValueError("more real umpires than umpires")
         if ceil((self.umpires - self.real) / self.hollow_processes) > HOLLOW_MOST:
             raise ValueError(f"more than {HOLLOW_MOST} hollow umpires a process")
+        if self.with_module is not None and self.with_module > self.umpires - self.real:
+            raise ValueError("more hollow umpires with a module than hollow umpires")
         if max(self.fronts) > self.services:
             raise ValueError("an umpire fronts more services than there are")
         if self.relays < self.zones and "relays" in self.ways:
@@ -89,6 +92,13 @@
     def processes(self) -> int:
         return self.relays + self.real + self.hollow_processes + OTHERS
 
+    @property
+    def parts_with_module(self) -> int:
+        """How many of the hollow processes, the first ones, hold umpires with a module."""
+        if self.with_module is None:
+            return self.hollow_processes
+        return round(self.hollow_processes * self.with_module / max(1, self.umpires - self.real))
+
     def begins(self) -> Iterator[tuple[float, PhaseTerms]]:
         at = 0.0
         for phase in self.phases:
@@ -113,6 +123,7 @@
             "regions": min(zones, scaled(self.regions)),
             "relays": relays,
             "real": min(self.real, umpires),
+            "with_module": None if self.with_module is None else min(self.with_module, umpires - self.real),
             "hollow_processes": scaled(self.hollow_processes),
             "faults": [fault for fault in self.faults if fault.relay < relays],
         }
--- a/gullmount/scale/fleet/way_relays.py
+++ b/gullmount/scale/fleet/way_relays.py
@@ -10,12 +10,13 @@
 
 from gullmount.calls import Refused, call
 from gullmount.scale.fleet.checks import sum_agrees
-from gullmount.scale.fleet.course import LOAD_WITHIN, LOOK_EVERY, OURS, RELAY_HOSTS, Deployment
-from gullmount.scale.fleet.seen import RELAY, SOURCE
+from gullmount.scale.fleet.course import LOAD_WITHIN, LOOK_EVERY, OURS, REAL_HOSTS, RELAY_HOSTS, Deployment
+from gullmount.scale.fleet.seen import REAL, RELAY, SOURCE
+from gullmount.scale.fleet.settings import umpire_file
 from gullmount.scale.fleet.sockets import Sockets
 from gullmount.scale.fleet.watching import READY_WITHIN, Failed, accepts
 
-SOURCE_PORT, RELAY_PORT = 7201, 7202
+SOURCE_PORT, RELAY_PORT, UMPIRE_PORT = 7201, 7202, 7100
 
 
 class RelaysDeployment(Deployment):
@@ -32,6 +33,7 @@
         return f"{self.host(OURS)}:{SOURCE_PORT}"
 
     async def start_sources(self) -> None:
+        await self.start_control("launcher")
         zones = self.drawn.zones
         relays = range(self.terms.relays)
         told: dict[str, Any] = {
@@ -57,7 +59,8 @@
             self.members.start(RELAY, f"relay-{number}", arguments, talks=False)
         for number, member in enumerate(self.members.of(RELAY)):
             await accepts(self.relay_address(number), self.net.connect, member, READY_WITHIN)
-        self.sockets = Sockets(f"dst {self.source()}")
+        real = [f"src {self.host(REAL_HOSTS, number)}" for number in range(len(self.record.real))]
+        self.sockets = Sockets(" or ".join([f"dst {self.source()}", *real]))
         self.tasks.start_soon(self.sockets.look_on)
 
     async def load(self) -> None:
@@ -65,15 +68,31 @@
         self.changer.order("load")
         self.record.loaded = await self.changer.told("loaded", LOAD_WITHIN)
 
+    def relays(self) -> list[tuple[str, str]]:
+        """Address and zone of each."""
+        return [(self.relay_address(number), self.relay_zone(number)) for number in range(self.terms.relays)]
+
     def hollow_told(self) -> dict[str, Any]:
-        return {
-            "relays": [
-                [self.relay_address(number), self.relay_zone(number)] for number in range(self.terms.relays)
-            ]
-        }
+        return {"relays": self.relays(), "launcher": self.control}
 
     def start_real(self) -> None:
-        pass
+        for number, umpire in enumerate(self.drawn.umpires[one] for one in sorted(self.drawn.real)):
+            told = umpire_file(
+                umpire,
+                self.terms,
+                f"{self.host(OURS, 1 + number)}:{UMPIRE_PORT}",
+                self.relays(),
+                self.control,
+                self.seed,
+                self.host(REAL_HOSTS, number),
+            )
+            path = self.file(f"real-{number}", told)
+            self.members.start(
+                REAL,
+                f"real-{number}",
+                ["gullmount.scale.fleet.real", str(path), str(self.folder / f"real-{number}.report")],
+                talks=False,
+            )
 
     async def sum_up(self) -> None:
         """Asked until it agrees with the truth, as far as that takes no longer than the file allows: relays
@@ -114,8 +133,14 @@
                 for place, line in enumerate(up)
             ]  # fmt: skip
         self.record.lines[RELAY] = lines
+        hosts = [self.host(REAL_HOSTS, number) for number in range(len(self.record.real))]
+        self.record.lines[REAL] = {
+            f"real-{number}": self.sockets.lines[host]
+            for number, host in enumerate(hosts)
+            if host in self.sockets.lines
+        }
         by_time: dict[float, list[int]] = {}
-        for up in self.sockets.lines.values():
+        for up in (lines for host, lines in self.sockets.lines.items() if host not in hosts):
             for line in up:
                 total = by_time.setdefault(line["t"], [0, 0])
                 total[0] += line["bytes_out"]
--- a/gullmount/scale/fleet/way_whole.py
+++ b/gullmount/scale/fleet/way_whole.py
@@ -35,10 +35,9 @@
             LISTS, "lists", "lists", serves="lists", port=LISTS_PORT, hosts=[self.host(OURS), *hosts],
             labelled=hosts,
         )  # fmt: skip
-        self.start_control()
-        for member in (service, *self.members.of("control")):
-            self.tasks.start_soon(member.hear)
-            await member.told("ready", READY_WITHIN)
+        self.tasks.start_soon(service.hear)
+        await self.start_control("control")
+        await service.told("ready", READY_WITHIN)
         self.record.bytes_of_list = service.last["bytes_of_list"]
 
     def hollow_told(self) -> dict[str, Any]:
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -57,10 +57,9 @@
 def test_faults_of_a_file_are_told_with_their_place(line: str, said: str) -> None:
     key = line.partition(":")[0]
     text = SMALL.read_text()
-    ways = "ways: [whole, relays]" if key == "relays" else ""
-    kept = [old for old in text.splitlines() if not old.startswith((f"{key}:", "ways:" if ways else " #"))]
+    kept = [old for old in text.splitlines() if not old.startswith((f"{key}:", "faults:", "  - {at"))]
     with pytest.raises(BadFile, match=said) as fault:
-        parse("\n".join([*kept, line, ways]), "fleet.yaml", FleetTerms)
+        parse("\n".join([*kept, line]), "fleet.yaml", FleetTerms)
     assert str(fault.value).startswith("fleet.yaml:")
 
 
@@ -183,7 +182,7 @@
             record.applied.append(np.array(told))
             heard = Heard(umpire.name, umpire.zone, [WHOLE])
             heard.synced_at = 104.0
-            marks: dict[str, Any] = {"marks": [], "bytes_in": 0, "bytes_out": 0}
+            marks: dict[str, Any] = {"marks": [], "process": "hollow-0"}
             record.umpires.append(heard.as_told({WHOLE: drawn.truth_whole()}) | marks)
     record.codes = {"lists": 0, "hollow-0": 0}
     record.samples = {"lists": {"lists": [(99.0, 0.0, 1)]}, "hollow": {"hollow-0": [(99.0, 0.0, 1)]}}
@@ -373,9 +372,11 @@
 
 def test_a_run_whose_umpires_never_hear_ends_and_says_so(tmp_path: Path) -> None:
     """A list over 1 MiB is refused by the platform's client: today's way stops there."""
-    text = (
-        SMALL.read_text().replace("boxes: 600", "boxes: 9000").replace("start_within: 120", "start_within: 3")
-    )
+    large = {"boxes: 240": "boxes: 9000", "start_within: 120": "start_within: 3"}
+    text = SMALL.read_text()
+    for old, new in large.items():
+        assert old in text
+        text = text.replace(old, new)
     file = tmp_path / "large.yaml"
     file.write_text(text)
     out = tmp_path / "out"
