--- a/gullmount/scale/fleet/terms.py
+++ b/gullmount/scale/fleet/terms.py
@@ -26,7 +26,7 @@
     length: PositiveFloat  # s
     configuration: NotNegative  # changes a second
     boxes: NotNegative  # changes of the list a second
-    boxes_at_once: Count = 0  # changes of the list in one moment, at the phase's begin, as with a zone lost
+    boxes_at_once: Count = 0  # changes of the list in one moment, at the phase's begin, as many as a zone has
 
 
 class FaultTerms(Described):
