Runs of fleets as rows for the capacity page, and as a summary without seconds

Need: the page takes a run as rows of role, figure, way, size, value and budget; the whole results are for reading.

--- a/gullmount/commands/scale_runs.py
+++ b/gullmount/commands/scale_runs.py
@@ -11,6 +11,7 @@
 from rich.console import Console
 
 from gullmount.commands.files import BAD_INPUT, BROKEN, Path_, loaded
+from gullmount.reports.scale import data as page_data
 from gullmount.reports.scale import plot, summary, tables
 from gullmount.scale.fleet.terms import FleetTerms, Way
 
@@ -18,6 +19,14 @@
 CHART = "results.png"
 
 
+data_option = click.option(
+    "--data", type=Path_, default=None, help="Write the figures as the capacity page takes them here."
+)
+summary_option = click.option(
+    "--summary", "brief", type=Path_, default=None, help="Write the results without seconds here."
+)
+
+
 @click.command("run")
 @click.argument("file", type=Path_)
 @click.option("--seed", type=int, required=True, help="Draws the fleet and its changes.")
@@ -26,7 +35,8 @@
 @click.option(
     "--way", type=click.Choice(["whole", "relays"]), default=None, help="Only this one of the file's."
 )
-@click.option("--data", type=Path_, default=None, help="Write the part that the capacity page takes here.")
+@data_option
+@summary_option
 @click.option("--json", "as_json", is_flag=True, help="The results as JSON on standard output.")
 def run(
     file: Path,
@@ -35,6 +45,7 @@
     umpires: int | None,
     way: Way | None,
     data: Path | None,
+    brief: Path | None,
     as_json: bool,
 ) -> None:
     """Play the fleet of FILE on this machine and hold its record against the checks.
@@ -63,8 +74,7 @@
     console = Console(stderr=True)
     try:
         made = play(terms, seed, out, lambda text: console.print(text, markup=False), command)
-        if data is not None:
-            data.write_text(json.dumps(summary(made), indent=1) + "\n")
+        keep(made, data, brief)
         plot(made, out / CHART)
     except OSError as fault:
         click.echo(f"{fault.filename or out}: {fault.strerror}", err=True)
@@ -74,14 +84,14 @@
 
 @click.command("report")
 @click.argument("folder", type=Path_)
-@click.option("--data", type=Path_, default=None, help="Write the part that the capacity page takes here.")
+@data_option
+@summary_option
 @click.option("--json", "as_json", is_flag=True, help="The results as JSON on standard output.")
-def report(folder: Path, data: Path | None, as_json: bool) -> None:
+def report(folder: Path, data: Path | None, brief: Path | None, as_json: bool) -> None:
     """Tell the results of the run in FOLDER again, and draw its chart anew."""
     try:
         made = json.loads((folder / RESULTS).read_text())
-        if data is not None:
-            data.write_text(json.dumps(summary(made), indent=1) + "\n")
+        keep(made, data, brief)
         plot(made, folder / CHART)
     except (OSError, ValueError) as fault:
         click.echo(f"{folder}: {fault}", err=True)
@@ -89,6 +99,14 @@
     tell(made, as_json)
 
 
+def keep(made: dict[str, Any], data: Path | None, brief: Path | None) -> None:
+    """Raises OSError."""
+    if data is not None:
+        data.write_text(json.dumps(page_data(made, data.stem), indent=1) + "\n")
+    if brief is not None:
+        brief.write_text(json.dumps(summary(made), indent=1) + "\n")
+
+
 def tell(made: dict[str, Any], as_json: bool) -> None:
     """And end: with 0 where all checks held."""
     if as_json:
--- a/gullmount/scale/fleet/run.py
+++ b/gullmount/scale/fleet/run.py
@@ -9,6 +9,7 @@
 import shutil
 import signal
 import time
+from datetime import UTC, datetime
 from importlib import import_module
 from pathlib import Path
 from typing import Any
@@ -30,6 +31,20 @@
     return made
 
 
+def machine() -> dict[str, Any]:
+    """What it is played on, without names."""
+    models = [
+        line for line in Path("/proc/cpuinfo").read_text().splitlines() if line.startswith("model name")
+    ]
+    return {
+        "processor": models[0].partition(":")[2].strip() if models else platform.machine(),
+        "cores": os.cpu_count() or 0,
+        "memory_gib": round(os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE") / 2**30, 1),
+        "system": f"{platform.system()} {platform.release()}",
+        "python": platform.python_version(),
+    }
+
+
 def run(terms: FleetTerms, seed: int, out: Path, progress: Progress, command: str = "") -> dict[str, Any]:
     """Play each of the file's ways in turn. What came of it, which `out/results.json` holds too. Raises
     OSError where `out` can't be written."""
@@ -39,11 +54,9 @@
         "version": __version__,
         "command": command,
         "seed": seed,
-        "machine": {
-            "cores": os.cpu_count(),
-            "python": platform.python_version(),
-            "system": platform.system(),
-        },
+        "machine": machine(),
+        "at": datetime.now(UTC).strftime("%Y-%m-%dT%H:%M:%SZ"),
+        "load": round(os.getloadavg()[0], 2),
         "fleet": terms.model_dump(mode="json"),
         "schedule": digest_schedule(Drawn(terms, seed).schedule),
         "runs": [],
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -320,7 +320,8 @@
 
 def test_the_small_fleet_keeps_all_checks(tmp_path: Path) -> None:
     out, data = tmp_path / "out", tmp_path / "data.json"
-    arguments = [str(SMALL), "--seed", "7", "--out", str(out), "--data", str(data)]
+    brief = tmp_path / "brief.json"
+    arguments = [str(SMALL), "--seed", "7", "--out", str(out), "--data", str(data), "--summary", str(brief)]
     ended = CliRunner().invoke(scale_runs.run, arguments, catch_exceptions=False)
     made = json.loads((out / "results.json").read_text())
     assert ended.exit_code == 0, [one["checks"] for one in made["runs"]]
@@ -331,7 +332,10 @@
         assert one["reached"] and one["phases"][-1]["never"] == 0
         assert sum(phase["all"]["count"] for phase in one["phases"])
     assert (out / "results.png").stat().st_size
-    assert "seconds" not in json.loads(data.read_text())["runs"][0]
+    assert "seconds" not in json.loads(brief.read_text())["runs"][0]
+    told_of = json.loads(data.read_text())
+    assert told_of["name"] == "data" and {row["way"] for row in told_of["rows"]} == {"today", "relays"}
+    assert all(isinstance(row["value"], int | float) for row in told_of["rows"])
     told = CliRunner().invoke(scale_runs.report, [str(out)], catch_exceptions=False)
     assert told.exit_code == 0 and "checks" in told.output
     assert set(reports.summary(made)) > {"fleet", "runs", "command", "version"}
