--- a/gullmount/cli.py
+++ b/gullmount/cli.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from importlib import import_module
-
 import click
 
 from gullmount import __version__
+from gullmount.commands.lazy import Lazy
 
 # By name: the module under gullmount/commands, and the command there.
 COMMANDS = {
@@ -16,26 +15,12 @@
     "group": ("grouping", "group"),
     "keeper": ("keeping", "keeper"),
     "rig": ("rigs", "rig"),
+    "scale": ("scaling", "scale"),
     "umpire": ("serving", "umpire"),
 }
 
 
-class Lazy(click.Group):
-    """Loads a command when it is asked for."""
-
-    def list_commands(self, ctx: click.Context) -> list[str]:
-        return sorted(COMMANDS)
-
-    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
-        if cmd_name not in COMMANDS:
-            return None
-        module, name = COMMANDS[cmd_name]
-        command = getattr(import_module(f"gullmount.commands.{module}"), name)
-        assert isinstance(command, click.Command)
-        return command
-
-
-@click.group(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
+@click.group(cls=Lazy, table=COMMANDS, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(__version__, prog_name="gullmount")
 def main() -> None:
     """Routes reqs between builds and votes on releases.
--- /dev/null
+++ b/gullmount/commands/scaling.py
@@ -0,0 +1,15 @@
+"""The group `scale`: slopes, the capacity page, fleets on this machine."""
+
+from __future__ import annotations
+
+import click
+
+from gullmount.commands.lazy import Lazy
+
+# By name: the module under gullmount/commands, and the command there.
+COMMANDS: dict[str, tuple[str, str]] = {}
+
+
+@click.group(cls=Lazy, table=COMMANDS)
+def scale() -> None:
+    """Measure how costs grow, and keep docs/CAPACITY.md in step with what was measured."""
--- /dev/null
+++ b/gullmount/scale/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""What is measured, a module a subject; `catalogue.MEASURES` holds all of them."""
