--- a/gullmount/reports/scale.py
+++ b/gullmount/reports/scale.py
@@ -159,7 +159,7 @@
     return {
         "kind": "run",
         "name": name,
-        "what": f"fleet {made['fleet']['name']}, seed {made['seed']}, checks {'held' if held else 'NOT held'}",
+        "what": f"fleet {made['fleet']['name']}, seed {made['seed']}, checks {'held' if held else 'broken'}",
         **{key: made[key] for key in ("command", "version", "machine", "at", "load", "v")},
         "rows": [row for one in made["runs"] for row in figures(one, made["fleet"]["umpires"])],
     }
