--- a/gullmount/commands/scale_runs.py
+++ b/gullmount/commands/scale_runs.py
@@ -17,6 +17,7 @@
 
 RESULTS = "results.json"
 CHART = "results.png"
+WIDTH = 140  # columns of tables that go to a file
 
 
 data_option = click.option(
@@ -113,6 +114,8 @@
         click.echo(json.dumps(made))
     else:
         console = Console()
+        if not console.is_terminal:
+            console.width = WIDTH
         for table in tables(made):
             console.print(table)
     held = all(check["held"] for one in made["runs"] for check in one["checks"])
--- a/gullmount/reports/scale.py
+++ b/gullmount/reports/scale.py
@@ -202,6 +202,13 @@
         for role, told in phase.get("work", {}).items():
             yield from row(role, f"{name}: cpu a change", told["cpu_s_a_change"], "s")
             yield from row(role, f"{name}: bytes a change", told["bytes_a_change"], "bytes")
+    for role, told in one["slopes"].items():
+        yield from row(role, "cpu for a change more, all of them", told["cpu_s_a_change_more"], "s")
+        yield from row(role, "bytes for a change more, all of them", told["bytes_a_change_more"], "bytes")
+        still = told["cpu_s_a_follower_and_second_without"]
+        yield from row(role, "cores a follower without changes, all of them", still, "cores")
+        still = told["bytes_a_follower_and_second_without"]
+        yield from row(role, "bytes a second a follower without changes, all of them", still, "bytes/s")
     for death in one["deaths"]:
         until = death["until_heard_at_another"]["last"]
         yield from row("umpire", "a relay's death: last of its followers heard another", until, "s")
--- a/gullmount/scale/fleet/seen.py
+++ b/gullmount/scale/fleet/seen.py
@@ -301,6 +301,25 @@
     return out
 
 
+def slopes(phases: Sequence[dict[str, Any]]) -> dict[str, Any]:
+    """From the first two phases, whose rates of change differ: what a change more costs all processes of a
+    role together, and what a follower costs them each second without any."""
+    if len(phases) < 2:  # noqa: PLR2004 (a line needs two points)
+        return {}
+    quiet, busy = phases[:2]
+    rate = [sum(one["changes"].values()) / one["length"] for one in (quiet, busy)]
+    out = {}
+    for role in quiet["work"].keys() & busy["work"].keys() if rate[0] != rate[1] else ():
+        told = {}
+        for name, said in (("cpu_s", "cpu_s"), ("bytes", "bytes")):
+            spent = [one["work"][role][name] / one["length"] for one in (quiet, busy)]
+            a_change = (spent[1] - spent[0]) / (rate[1] - rate[0])
+            told[f"{said}_a_change_more"] = a_change
+            told[f"{said}_a_follower_and_second_without"] = (spent[0] - a_change * rate[0]) / quiet["umpires"]
+        out[role] = told
+    return out
+
+
 SECOND = 1.0  # s between samples
 
 
@@ -491,6 +510,7 @@
     for told_of, (begin, phase) in zip(phases, drawn.terms.begins(), strict=False):
         since, until = record.began + begin, record.began + begin + phase.length
         told_of["roles"] = roles(record, since, until)
+        told_of["umpires"] = len(record.umpires) + len(record.real)
         told_of["work"] = per_change(record, since, until, sum(told_of["changes"].values()))
     until = record.began + drawn.terms.length
     troubles: dict[str, int] = defaultdict(int)
@@ -504,6 +524,7 @@
         "bytes_of_list": record.bytes_of_list,
         "start": start_cost(record),
         "phases": phases,
+        "slopes": slopes(phases),
         "deaths": [death_cost(record, death) for death in record.deaths],
         "hollow_and_real": compared(record, record.began, until) if record.began else {},
         "troubles": dict(sorted(troubles.items(), key=lambda pair: -pair[1])[:20]),
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -311,6 +311,18 @@
     assert cost["until_heard_at_another"]["last"] == pytest.approx(0.5, rel=0.002)
 
 
+def test_what_a_change_more_costs_is_the_slope_between_two_rates() -> None:
+    def phase(changes: int, cpu: float) -> dict[str, Any]:
+        work = {"relay": {"cpu_s": cpu, "bytes": cpu * 1000}}
+        return {"changes": {"boxes": changes, "config": 0}, "length": 10.0, "umpires": 100, "work": work}
+
+    told = seen.slopes([phase(10, 5.0 + 0.2), phase(110, 5.0 + 2.2)])["relay"]
+    assert told["cpu_s_a_change_more"] == pytest.approx(0.02)
+    assert told["cpu_s_a_follower_and_second_without"] == pytest.approx(0.005)
+    assert told["bytes_a_change_more"] == pytest.approx(20)
+    assert seen.slopes([phase(10, 5.0)]) == {}
+
+
 # A small fleet
 
 
@@ -362,11 +374,9 @@
 
 @pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
 def test_no_process_outlives_a_run_that_is_ended(tmp_path: Path, number: signal.Signals) -> None:
-    arguments = ["days/scale/small.yaml", "--seed", "7", "--out", str(tmp_path), "--way", "whole"]
-    program = "import sys; from gullmount.commands.scale_runs import run; run(sys.argv[1:])"
-    with subprocess.Popen(
-        [sys.executable, "-c", program, *arguments], cwd=ROOT, stderr=subprocess.PIPE
-    ) as run:
+    program = [sys.executable, "-m", "gullmount", "scale", "run", "days/scale/small.yaml"]
+    arguments = ["--seed", "7", "--out", str(tmp_path), "--way", "whole"]
+    with subprocess.Popen([*program, *arguments], cwd=ROOT, stderr=subprocess.PIPE) as run:
         wait_for(lambda: len(children(tmp_path)) >= 5)
         run.send_signal(number)
         run.wait(60)
