--- a/gullmount/scale/fleet/hollow.py
+++ b/gullmount/scale/fleet/hollow.py
@@ -19,7 +19,7 @@
 from anyio.abc import TaskGroup
 
 from gullmount.net import TcpNet
-from gullmount.scale.fleet.child import Orders, Told, each_second, main, say
+from gullmount.scale.fleet.child import EACH, Orders, Told, each_second, main, say
 from gullmount.scale.fleet.counting import CountedNet
 from gullmount.scale.fleet.drawn import Drawn
 from gullmount.scale.fleet.heard import Heard
@@ -63,6 +63,7 @@
             for one in drawn.hollow(told["part"])
         ]
         self.before = [0] * len(self.umpires)
+        self.told_at = time.monotonic()
         self.expected: dict[str, list[int]] | None = None
 
     async def start(self, tasks: TaskGroup) -> None:
@@ -71,6 +72,9 @@
             await anyio.sleep(START_IN / len(self.umpires))
 
     def tell(self) -> None:
+        at = time.monotonic()
+        since = max(EACH, at - self.told_at)  # s: a busy process tells late
+        self.told_at = at
         now = [one.net.bytes_in + one.net.bytes_out for one in self.umpires]
         steps = [new - old for new, old in zip(now, self.before, strict=True)]
         self.before = now
@@ -79,10 +83,10 @@
         for one in self.umpires:
             counts.update(one.counts())
         say(
-            t=time.monotonic(),
+            t=at,
             bytes_in=sum(one.net.bytes_in for one in self.umpires),
             bytes_out=sum(one.net.bytes_out for one in self.umpires),
-            most=steps[most],
+            most=steps[most] / since,
             most_at=self.umpires[most].heard.name,
             synced=sum(one.heard.synced_at > 0 for one in self.umpires),
             behind=None
--- a/gullmount/scale/fleet/terms.py
+++ b/gullmount/scale/fleet/terms.py
@@ -114,7 +114,7 @@
         def scaled(count: int, least: int = 1) -> int:
             return max(least, round(count * part))
 
-        relays = max(zones, scaled(self.relays))
+        relays = zones + scaled(self.relays - self.zones)  # one a zone and one more at least
         changed = {
             "umpires": umpires,
             "boxes": scaled(self.boxes),
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -79,7 +79,7 @@
 @pytest.mark.parametrize(("umpires", "zones"), [(230, 1), (2300, 10), (7300, 31)])
 def test_another_size_keeps_zones_as_full(umpires: int, zones: int) -> None:
     terms = read(TARGET, FleetTerms).sized(umpires)
-    assert terms.zones == zones and terms.relays >= zones
+    assert terms.zones == zones and terms.relays > zones  # one of them may die
     assert terms.boxes / terms.umpires == pytest.approx(140_000 / 7300, rel=0.01)
     assert terms.services / terms.umpires == pytest.approx(5500 / 7300, rel=0.01)
     assert [phase.configuration for phase in terms.phases] == [
