--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -13,18 +13,22 @@
 from pathlib import Path
 from typing import Any
 
+import anyio
 import numpy as np
 import pytest
 from click.testing import CliRunner
 
 from gullmount.commands import scale_runs
+from gullmount.net import MemoryNet, Stream
 from gullmount.reports import scale as reports
 from gullmount.scale.fleet import seen
-from gullmount.scale.fleet.checks import checks
+from gullmount.scale.fleet.checks import checks, nothing_older, sum_agrees
+from gullmount.scale.fleet.counting import CountedNet
 from gullmount.scale.fleet.drawn import Drawn, DrawnBox, digest_schedule
 from gullmount.scale.fleet.heard import WHOLE, Heard
 from gullmount.scale.fleet.lists import Lists
 from gullmount.scale.fleet.seen import Record
+from gullmount.scale.fleet.sockets import Sockets
 from gullmount.scale.fleet.terms import FleetTerms
 from gullmount.yamlfile import BadFile, parse, read
 
@@ -270,6 +274,82 @@
     assert name in broken(record, drawn)
 
 
+def summed() -> tuple[Record, Drawn]:
+    """What the source says at the end of a run on relays."""
+    drawn = Drawn(small(), 5)
+    record = Record("relays", loaded=[3, 80])
+    record.changes = [{"version": [3, 80 + number]} for number in range(1, 10)]
+    zones = {zone: {"followers": 30, "lowest": [3, 89]} for zone in drawn.zones}
+    record.in_force = {"as_of": [3, 89], "zones": zones}
+    return record, drawn
+
+
+def test_a_sum_that_tells_the_truth_is_found_to() -> None:
+    assert sum_agrees(*summed()).held
+
+
+@pytest.mark.parametrize(
+    ("zone", "change"),
+    [
+        ("a", {"followers": 29}),
+        ("b", {"lowest": [3, 88]}),
+        ("b", {"lowest": [2, 9999]}),
+        ("b", {"lowest": None}),
+        ("c", {"behind": 1}),
+        ("c", {"unable": 1}),
+        ("d", {"starting": 1}),
+        ("d", {"gone": 1}),
+        ("x", {"followers": 1}),
+    ],
+)
+def test_a_sum_that_does_not_agree_is_found(zone: str, change: dict[str, Any]) -> None:
+    record, drawn = summed()
+    assert record.in_force is not None
+    record.in_force["zones"][zone] = record.in_force["zones"].get(zone, {}) | change
+    told = sum_agrees(record, drawn)
+    assert not told.held and told.faults[0].startswith(f"zone {zone}")
+
+
+def test_a_sum_that_was_never_told_is_found() -> None:
+    record, drawn = summed()
+    record.in_force = None
+    assert not sum_agrees(record, drawn).held
+
+
+def on_relays(versions: list[tuple[int, int]]) -> Record:
+    """One umpire that heard the versions of one topic, a second apart."""
+    record = Record("relays", went=100.0, began=110.0)
+    heard = Heard("umpire-0", "a", ["boxes/service-1", "config/service-1"])
+    record.umpires = [heard.as_told({}) | {"process": "hollow-0"}]
+    rows = [(1.0, float(epoch), float(revision), 111.0 + at) for at, (epoch, revision) in enumerate(versions)]
+    record.applied = [np.array(rows)]
+    return record
+
+
+@pytest.mark.parametrize(
+    ("versions", "kept"),
+    [
+        ([(5, 1), (5, 4), (5, 4), (6, 1)], True),
+        ([(5, 1), (5, 4), (5, 3)], False),
+        ([(5, 1), (6, 1), (5, 9)], False),
+    ],
+)
+def test_versions_are_ordered_by_epoch_first(versions: list[tuple[int, int]], kept: bool) -> None:
+    assert nothing_older(on_relays(versions)).held is kept
+
+
+def test_a_newer_version_brings_the_older_changes_in_force_and_other_topics_do_not() -> None:
+    record = on_relays([(5, 1), (5, 7)])
+    topics = ["config/service-1", "config/service-1", "boxes/service-1", "config/service-2"]
+    record.changes = [
+        {"change": number, "topic": topic, "key": "", "sent": 110.5, "version": [5, number + 2]}
+        for number, topic in enumerate(topics)
+    ]
+    taken, never = seen.spans(record, record.umpires, record.applied)
+    assert taken == {0: [1.5], 1: [1.5]}  # skipped to the newest, which holds both
+    assert never == 1  # of the boxes nothing was heard; nobody follows service-2
+
+
 # Figures
 
 
@@ -323,6 +403,49 @@
     assert seen.slopes([phase(10, 5.0)]) == {}
 
 
+SS = """
+ESTAB 0 0 127.9.5.1:40001 127.9.1.1:7201 cubic rto:204 bytes_sent:%d bytes_acked:90 bytes_received:%d
+ESTAB 0 0 127.9.5.1:40002 127.9.1.1:7201 cubic rto:204 bytes_sent:10 bytes_received:20
+ESTAB 0 0 127.9.5.2:40001 127.9.1.1:7201 cubic rto:204
+"""
+
+
+def test_bytes_of_connections_are_summed_by_host_and_outlive_them() -> None:
+    sockets = Sockets("")
+    sockets.look(SS % (100, 1000), 1.0)
+    sockets.look(SS % (150, 1600), 2.0)
+    sockets.look("", 3.0)
+    sockets.look(SS % (5, 6), 4.0)  # another connection from the same ports
+    told = [(line["bytes_in"], line["bytes_out"]) for line in sockets.lines["127.9.5.1"]]
+    assert told == [(1020, 110), (1620, 160), (1620, 160), (1646, 175)]
+    assert sockets.lines["127.9.5.2"][-1]["bytes_in"] == 0
+
+
+def test_what_crosses_a_counted_net_is_counted_by_whom_it_came_from() -> None:
+    async def scene() -> None:
+        memory, by_address = MemoryNet(), dict[str, list[int]]()
+        net = CountedNet(memory, by_address)
+
+        async def answer(stream: Stream) -> None:
+            await stream.send(b"x" * len(await stream.receive()) * 2)
+
+        async with anyio.create_task_group() as tasks:
+            memory.running = tasks
+            started = anyio.Event()
+            tasks.start_soon(memory.serve, "127.0.0.9:1", answer, started)
+            await started.wait()
+            stream = await net.connect("127.0.0.9:1")
+            await stream.send(b"abc")
+            assert await stream.receive() == b"xxxxxx"
+            assert net.marks[0].heard and not net.marks[0].ended
+            await stream.aclose()
+            tasks.cancel_scope.cancel()
+        assert (net.bytes_in, net.bytes_out) == (6, 3) and by_address == {"127.0.0.9:1": [6, 3]}
+        assert net.marks[0].ended
+
+    anyio.run(scene)
+
+
 # A small fleet
 
 
