--- a/gullmount/commands/scaling.py
+++ b/gullmount/commands/scaling.py
@@ -7,7 +7,9 @@
 from gullmount.commands.lazy import Lazy
 
 # By name: the module under gullmount/commands, and the command there.
-COMMANDS: dict[str, tuple[str, str]] = {}
+COMMANDS = {
+    "slopes": ("scale_slopes", "slopes"),
+}
 
 
 @click.group(cls=Lazy, table=COMMANDS)
--- /dev/null
+++ b/gullmount/scale/slopes/connections.py
@@ -0,0 +1,124 @@
+"""Connections that a box holds from all umpires that know it: the upstream that `run` uses, in memory and
+virtual time, since the count hangs on rates and idle times only."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from random import Random
+from statistics import fmean
+from types import SimpleNamespace
+from typing import Any, cast
+
+import anyio
+import trio.testing
+from anyio.abc import TaskGroup
+
+from gullmount.net import BROKEN, MemoryNet, Stream
+from gullmount.platform.entrance import PlatformEntrance
+from gullmount.platform.told import read
+from gullmount.scale.slopes.configuration import configuration, written
+from gullmount.scale.slopes.measure import Measure
+from gullmount.umpire.direct_upstream import DirectUpstream
+from gullmount.umpire.exchange import Exchange
+from gullmount.umpire.host import read_clock
+from gullmount.umpire.messages import Answer, Head
+from gullmount.umpire.outcomes import Ending
+from gullmount.umpire.timers import Timers
+
+BOX, ADDRESS = "box", "127.0.0.1:8200"
+BOX_RATE = 20.0  # reqs a second at a box at the peak: the target's
+ANSWER = 0.05  # s until a box answers
+PATIENCE = 1.0  # s
+SETTLED = 40.0  # s before the count: idle connections are closed after 15
+COUNTED = 20.0  # s of counting
+COUNT_EVERY = 0.25  # s
+SEEDS = 3
+ANSWERED_LEAST = 0.99  # of the reqs: else it is not traffic that is measured
+SOCKETS = 1024  # of an umpire, as the platform's limits have them
+ANSWERED = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class OneBox:
+    """Umpires before one box; each req comes by chance to any of them."""
+
+    def __init__(self, umpires: int, seed: int) -> None:
+        self.umpires = umpires
+        self.random = Random(seed)
+        self.net = MemoryNet()
+        self.open = 0
+        self.sent = self.answered = 0
+
+    async def box(self, stream: Stream) -> None:
+        self.open += 1
+        try:
+            while True:
+                await stream.receive()
+                await anyio.sleep(ANSWER)
+                await stream.send(ANSWERED)
+        except BROKEN:
+            pass
+        finally:
+            self.open -= 1
+
+    def ended(
+        self, exchange: Exchange, number: int, ending: Ending, answer: Answer | None, latency: float
+    ) -> None:
+        self.answered += ending is Ending.ANSWERED
+
+    def upstream(self, tasks: TaskGroup) -> DirectUpstream:
+        with written(configuration(1)) as path:
+            start = read({"PROXY_CONFIG": str(path)})
+        entrance = PlatformEntrance(start.grounds, start.terms, SOCKETS, read_clock)
+        entrance.addresses[BOX] = ADDRESS
+        timers = Timers(read_clock)
+        host = SimpleNamespace(tried=self.ended, may_still=lambda exchange, number: True)
+        made = DirectUpstream(cast(Any, host), entrance, self.net, tasks, timers)
+        tasks.start_soon(timers.run)
+        tasks.start_soon(made.sweep)
+        return made
+
+    async def come(self, upstreams: list[DirectUpstream]) -> None:
+        while True:
+            await anyio.sleep(self.random.expovariate(BOX_RATE))
+            self.sent += 1
+            head = Head(b"GET", b"/route", [(b"host", b"x")])
+            exchange = Exchange(f"r{self.sent}", head, b"", read_clock() + PATIENCE)
+            self.random.choice(upstreams).begin(exchange, 0, BOX, PATIENCE)
+
+    async def main(self) -> float:
+        """The mean count; raises RuntimeError where reqs fail."""
+        counts = []
+        async with anyio.create_task_group() as tasks:
+            self.net.running = tasks
+            started = anyio.Event()
+            tasks.start_soon(self.net.serve, ADDRESS, self.box, started)
+            await started.wait()
+            tasks.start_soon(self.come, [self.upstream(tasks) for _ in range(self.umpires)])
+            await anyio.sleep(SETTLED)
+            for _ in range(round(COUNTED / COUNT_EVERY)):
+                await anyio.sleep(COUNT_EVERY)
+                counts.append(self.open)
+            tasks.cancel_scope.cancel()
+        if self.answered < ANSWERED_LEAST * (self.sent - BOX_RATE * PATIENCE):
+            raise RuntimeError(f"only {self.answered} of {self.sent} reqs were answered: nothing is measured")
+        return fmean(counts)
+
+
+def at_a_box(umpires: float) -> Iterator[float]:
+    """A seed a sample."""
+    for seed in range(SEEDS):
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        one = OneBox(round(umpires), seed)
+        yield anyio.run(one.main, backend="trio", backend_options={"clock": clock})
+
+
+MEASURES = (
+    Measure(
+        "box-connections",
+        "connections at a box that gets 20 reqs a second, by chance from any umpire before it (virtual time)",
+        "umpires before the box",
+        "connections",
+        (1.0, 11.0, 53.0, 250.0, 1000.0, 7300.0),
+        at_a_box,
+    ),
+)
--- a/gullmount/scale/slopes/module.py
+++ b/gullmount/scale/slopes/module.py
@@ -13,6 +13,7 @@
 BOXES = (25.0, 200.0, 1000.0, 5000.0, 25_000.0, 140_000.0)
 BOXES_OF_SERVICE = 25
 ROUTES = (4.0, 38.0, 304.0, 1520.0, 10_000.0)
+JUDGED_ROUTES = (4.0, 38.0, 304.0, 1520.0, 4000.0)  # beyond them 20 s of looks take minutes
 SERVICES = (1.0, 8.0, 40.0, 200.0, 1000.0)
 KEYS = (1000.0, 10_000.0, 100_000.0, 540_000.0)
 UMPIRES = (2.0, 20.0, 200.0, 2000.0, 7300.0)
@@ -36,11 +37,19 @@
 
 def take_over_keys(keys: float) -> Iterator[float]:
     """Each key has met a build before."""
-    driven = Driven(BOXES_OF_SERVICE, trial=True, keys=round(keys))
-    driven.reqs(round(keys))
+    driven = with_keys(round(keys))
     yield from timed(driven.req)
 
 
+def with_keys(keys: int) -> Driven:
+    """In a trial whose share has grown, each key having come once."""
+    driven = Driven(BOXES_OF_SERVICE, trial=True, keys=keys)
+    driven.reqs(round(SIGHT * RATE))
+    for _ in range(keys):
+        driven.req()
+    return driven
+
+
 def take_over_services(services: float) -> Iterator[float]:
     """As many modules in one process, each with its own list, asked in turn."""
     fronts = [Driven(BOXES_OF_SERVICE, rate=max(1.0, RATE / services)) for _ in range(round(services))]
@@ -109,10 +118,11 @@
 
     def make() -> Driven:
         driven = Driven(BOXES_OF_SERVICE, round(routes), trial=True)
-        driven.reqs(round(SIGHT * RATE))
+        for _ in range(round(SIGHT * RATE)):
+            driven.req()
         return driven
 
-    yield from held(make, samples=3)
+    yield from held(make, samples=2)
 
 
 def memory_over_services(services: float) -> Iterator[float]:
@@ -121,14 +131,7 @@
 
 def memory_over_keys(keys: float) -> Iterator[float]:
     """Keys that met a build in a trial: remembered one by one up to a bound."""
-
-    def make() -> Driven:
-        driven = Driven(BOXES_OF_SERVICE, trial=True, keys=round(keys))
-        for _ in range(round(keys)):
-            driven.req()
-        return driven
-
-    yield from held(make, samples=2)
+    yield from held(lambda: with_keys(round(keys)), samples=1)
 
 
 A_REQ = "s of processor time a req"
@@ -183,7 +186,7 @@
         "the judge's looks at 384 reqs a second, no trial",
         "routes",
         A_SECOND,
-        ROUTES,
+        JUDGED_ROUTES,
         partial(judge_over_routes, trial=False),
     ),
     Measure(
@@ -191,7 +194,7 @@
         "the same in a trial, votes pooled among 7,300 umpires",
         "routes",
         A_SECOND,
-        ROUTES,
+        JUDGED_ROUTES,
         partial(judge_over_routes, trial=True),
     ),
     Measure(
@@ -199,7 +202,7 @@
         "the same in a trial where one umpire's vote decides",
         "routes",
         A_SECOND,
-        ROUTES,
+        JUDGED_ROUTES,
         partial(judge_over_routes, trial=True, pooled=False),
     ),
     Measure(
--- a/gullmount/scale/slopes/watches.py
+++ b/gullmount/scale/slopes/watches.py
@@ -96,7 +96,8 @@
         fleet = SimpleNamespace(changed=None)
         async with anyio.create_task_group() as tasks:
             self.standin = RosterStandIn(
-                tasks, cast(Any, party), address, cast(Any, fleet), cast(Any, record), seed=7, notice=0.0, silent_notice=0.0, add=0.0, period=0.0, refuse=0.0,
+                tasks, cast(Any, party), address, cast(Any, fleet), cast(Any, record), seed=7,
+                notice=0.0, silent_notice=0.0, add=0.0, period=0.0, refuse=0.0,
             )  # fmt: skip
             for at in range(self.boxes):
                 self.standin.show(self.entry(at))
