gullmount scale page makes the capacity page's tables from figures and says where they differ

Rows of needs by role are worked out from slopes at the target and sorted by the share at which a budget is spent; what is stretched says how far, what was not measured says so.

--- /dev/null
+++ b/gullmount/commands/scale_page.py
@@ -0,0 +1,48 @@
+"""The capacity page: made from the figures, or held against them."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+
+from gullmount.commands.files import BAD_INPUT, BROKEN, Path_
+from gullmount.scale.data import BadData, read_all
+from gullmount.scale.page import BadPage, differs, renewed, tables
+
+
+@click.command()
+@click.option("--check", is_flag=True, help="Change nothing; exit code 1 where page and figures differ.")
+@click.option(
+    "--page", "path", type=Path_, default=Path("docs/CAPACITY.md"), show_default=True, help="The page."
+)
+@click.option(
+    "--data", type=Path_, default=Path("docs/capacity"), show_default=True, help="Folder of the figures."
+)
+def page(check: bool, path: Path, data: Path) -> None:
+    """Write the tables of the capacity page anew from the figures; what stands outside them is left.
+
+    Exit code 2 where a file is missing or cannot be read, which is named with its field.
+
+    \b
+    gullmount scale page --check
+    """
+    try:
+        made = tables(read_all(data))
+        text = path.read_text()
+        if check:
+            if (told := differs(text, made)) is not None:
+                click.echo(f"{path}:{told}", err=True)
+                sys.exit(BROKEN)
+            return
+        path.write_text(renewed(text, made))
+    except BadData as fault:
+        click.echo(str(fault), err=True)
+        sys.exit(BAD_INPUT)
+    except BadPage as fault:
+        click.echo(f"{path}:{fault}", err=True)
+        sys.exit(BAD_INPUT)
+    except OSError as fault:
+        click.echo(f"{path}: {fault.strerror}", err=True)
+        sys.exit(BAD_INPUT)
--- a/gullmount/commands/scaling.py
+++ b/gullmount/commands/scaling.py
@@ -8,6 +8,7 @@
 
 # By name: the module under gullmount/commands, and the command there.
 COMMANDS = {
+    "page": ("scale_page", "page"),
     "slopes": ("scale_slopes", "slopes"),
 }
 
--- a/gullmount/scale/fit.py
+++ b/gullmount/scale/fit.py
@@ -20,6 +20,8 @@
 # Student's t that 95 in 100 lie within, by degrees of freedom from 1 (two-sided; any table of it).
 T95 = (12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228)
 T95_MANY = 1.96
+FITTED_SPAN = 200.0  # below the last point: two decades and some are fitted, as small sizes have other costs
+FITTED_LEAST = 4  # points of a fit
 TINY = 1e-12  # share of a value below which a residual is the arithmetic's own
 
 Floats = NDArray[np.float64]
@@ -135,7 +137,9 @@
         self.middle = [median(point.values) for point in kept]
         self.low = [min(point.values) for point in kept]
         self.high = [max(point.values) for point in kept]
-        self.fit = fitted(self.xs, self.middle)
+        first = min(len(kept) - FITTED_LEAST, sum(x < self.xs[-1] / FITTED_SPAN for x in self.xs))
+        self.fitted_from = max(0, first)
+        self.fit = fitted(self.xs[self.fitted_from :], self.middle[self.fitted_from :])
 
     def read(self, x: float) -> Read:
         """Below the first point its own value stands: a cost does not vanish."""
@@ -143,8 +147,9 @@
             return Read(self.middle[0], self.low[0], self.high[0])
         if x <= self.xs[-1]:
             return Read(*(self.between(x, ys) for ys in (self.middle, self.low, self.high)))
-        value = self.fit.value(x)
-        return Read(value, *self.fit.interval(x), stretch=x / self.xs[-1])
+        value = max(self.fit.value(x), self.middle[-1])  # a cost does not fall as things grow
+        low, high = self.fit.interval(x)
+        return Read(value, max(low, self.low[-1]), max(high, value), stretch=x / self.xs[-1])
 
     def between(self, x: float, ys: Sequence[float]) -> float:
         known = np.log(np.maximum(ys, TINY))
--- a/gullmount/scale/slopes/alone.py
+++ b/gullmount/scale/slopes/alone.py
@@ -102,14 +102,14 @@
     ]
 
 
-def grounds(route_count: int, umpires: int, pooled: bool = True) -> Grounds:
+def grounds(route_count: int, umpires: int) -> Grounds:
     release = ReleaseTerms(
         caps=(0.2, 0.5, 1.0), by_route=False, closed_stages=0, one_way=True, window=3.0, spare_tries=2.0,
         timed=False, vote_life=10.0, to_advance=1, back_votes=1, votes_per_s=50.0, tally_period=0.0,
     )  # fmt: skip
     return Grounds(
         seed=7, routes=routes(route_count), release=release, zone="zone-00", number=5, umpires=umpires,
-        may_tell=pooled, link_idle=15.0, cold_share=0.3, warm_time=2.0, tip_multiple=2.0, max_tries=4,
+        may_tell=True, link_idle=15.0, cold_share=0.3, warm_time=2.0, tip_multiple=2.0, max_tries=4,
         may_subscribe=False, max_retry_after=0.5,
     )  # fmt: skip
 
@@ -124,12 +124,11 @@
         route_count: int = 38,
         umpires: int = 0,
         trial: bool = False,
-        pooled: bool = True,
         keys: int = 0,
         rate: float = RATE,
     ) -> None:
         self.host = NullHost()
-        self.umpire = Umpire(self.host, grounds(route_count, umpires or told_umpires(boxes), pooled))
+        self.umpire = Umpire(self.host, grounds(route_count, umpires or told_umpires(boxes)))
         self.umpire.listed(ListKind.FULL, lines(boxes, trial))
         self.umpire.news(SERVING, 0, Phase.RELEASED, 1.0)
         self.names = list(self.umpire.grounds.routes)
--- a/gullmount/scale/slopes/module.py
+++ b/gullmount/scale/slopes/module.py
@@ -89,8 +89,8 @@
         yield spent / LOOKS * 4
 
 
-def judge_over_routes(routes: float, trial: bool, pooled: bool = True) -> Iterator[float]:
-    yield from judged(Driven(BOXES_OF_SERVICE, round(routes), trial=trial, pooled=pooled), RATE)
+def judge_over_routes(routes: float, trial: bool) -> Iterator[float]:
+    yield from judged(Driven(BOXES_OF_SERVICE, round(routes), trial=trial), RATE)
 
 
 def judge_over_boxes(boxes: float, trial: bool) -> Iterator[float]:
@@ -144,7 +144,7 @@
     ),
     Measure(
         "take-boxes-trial",
-        "the same while a newer build is on trial at a fifth of the boxes",
+        "a req's `take` and its end, a newer build on trial at a fifth of the boxes",
         "boxes listed",
         A_REQ,
         BOXES,
@@ -152,7 +152,7 @@
     ),
     Measure(
         "take-boxes-few",
-        "the same, told of two umpires: each box is ranked",
+        "a req's `take` and its end, told of two umpires: each box is ranked",
         "boxes listed",
         A_REQ,
         BOXES,
@@ -160,7 +160,7 @@
     ),
     Measure(
         "take-umpires",
-        "the same at 1,000 boxes, no trial",
+        "a req's `take` and its end at 1,000 boxes, no trial",
         "umpires told of",
         A_REQ,
         UMPIRES,
@@ -168,14 +168,19 @@
     ),
     Measure(
         "take-services",
-        "the same with a module for each service of 25 boxes and 38 routes, in turn",
+        "a req's `take` and its end, a module for each service of 25 boxes and 38 routes, in turn",
         "services fronted",
         A_REQ,
         SERVICES,
         take_over_services,
     ),
     Measure(
-        "take-keys", "the same in a trial, each key having met a build", "keys", A_REQ, KEYS, take_over_keys
+        "take-keys",
+        "a req's `take` and its end in a trial, each key having met a build",
+        "keys",
+        A_REQ,
+        KEYS,
+        take_over_keys,
     ),
     Measure(
         "listed-whole", "`listed` with the whole list again", "boxes listed", A_CALL, BOXES, listed_whole
@@ -191,20 +196,12 @@
     ),
     Measure(
         "judge-routes-trial",
-        "the same in a trial, votes pooled among 7,300 umpires",
+        "the judge's looks at 384 reqs a second in a trial",
         "routes",
         A_SECOND,
         JUDGED_ROUTES,
         partial(judge_over_routes, trial=True),
     ),
-    Measure(
-        "judge-routes-alone",
-        "the same in a trial where one umpire's vote decides",
-        "routes",
-        A_SECOND,
-        JUDGED_ROUTES,
-        partial(judge_over_routes, trial=True, pooled=False),
-    ),
     Measure(
         "judge-boxes",
         "the judge's looks at 38 routes, no trial",
@@ -215,7 +212,7 @@
     ),
     Measure(
         "judge-boxes-trial",
-        "the same in a trial",
+        "the judge's looks at 38 routes in a trial",
         "boxes listed",
         A_SECOND,
         BOXES[:-1],
@@ -231,7 +228,7 @@
     ),
     Measure(
         "judge-services-trial",
-        "the same, a trial at each service",
+        "the looks of a module for each service, 384 reqs a second in all, a trial at each",
         "services fronted",
         A_SECOND,
         SERVICES,
--- a/gullmount/scale/slopes/news.py
+++ b/gullmount/scale/slopes/news.py
@@ -138,7 +138,7 @@
     ),
     Measure(
         "page-bytes-long",
-        "the same with long names of boxes and zones",
+        "the platform's page of all boxes, with long names of boxes and zones",
         "boxes listed",
         "bytes",
         BOXES,
