--- a/gullmount/commands/scaling.py
+++ b/gullmount/commands/scaling.py
@@ -7,9 +7,11 @@
 from gullmount.commands.lazy import Lazy
 
 # By name: the module under gullmount/commands, and the command there.
-COMMANDS: dict[str, tuple[str, str]] = {
+COMMANDS = {
+    "page": ("scale_page", "page"),
     "report": ("scale_runs", "report"),
     "run": ("scale_runs", "run"),
+    "slopes": ("scale_slopes", "slopes"),
 }
 
 
--- a/gullmount/scale/fleet/way_relays.py
+++ b/gullmount/scale/fleet/way_relays.py
@@ -43,7 +43,9 @@
             "kept": str(self.folder / "kept"),
         }
         path = self.file("source", told)
-        source = self.members.start(SOURCE, "source", ["gullmount", "source", str(path)], talks=False)
+        source = self.members.start(
+            SOURCE, "source", ["gullmount", "source", "--found", str(path)], talks=False
+        )
         await accepts(self.source(), self.net.connect, source, READY_WITHIN)
         for number in relays:
             told = {
--- a/gullmount/scale/slopes/module.py
+++ b/gullmount/scale/slopes/module.py
@@ -13,6 +13,7 @@
 BOXES = (25.0, 200.0, 1000.0, 5000.0, 25_000.0, 140_000.0)
 BOXES_OF_SERVICE = 25
 ROUTES = (4.0, 38.0, 304.0, 1520.0, 10_000.0)
+JUDGED_ROUTES = (4.0, 38.0, 304.0, 1520.0, 4000.0)  # beyond them 20 s of looks take minutes
 SERVICES = (1.0, 8.0, 40.0, 200.0, 1000.0)
 KEYS = (1000.0, 10_000.0, 100_000.0, 540_000.0)
 UMPIRES = (2.0, 20.0, 200.0, 2000.0, 7300.0)
@@ -36,11 +37,19 @@
 
 def take_over_keys(keys: float) -> Iterator[float]:
     """Each key has met a build before."""
-    driven = Driven(BOXES_OF_SERVICE, trial=True, keys=round(keys))
-    driven.reqs(round(keys))
+    driven = with_keys(round(keys))
     yield from timed(driven.req)
 
 
+def with_keys(keys: int) -> Driven:
+    """In a trial whose share has grown, each key having come once."""
+    driven = Driven(BOXES_OF_SERVICE, trial=True, keys=keys)
+    driven.reqs(round(SIGHT * RATE))
+    for _ in range(keys):
+        driven.req()
+    return driven
+
+
 def take_over_services(services: float) -> Iterator[float]:
     """As many modules in one process, each with its own list, asked in turn."""
     fronts = [Driven(BOXES_OF_SERVICE, rate=max(1.0, RATE / services)) for _ in range(round(services))]
@@ -80,8 +89,8 @@
         yield spent / LOOKS * 4
 
 
-def judge_over_routes(routes: float, trial: bool, pooled: bool = True) -> Iterator[float]:
-    yield from judged(Driven(BOXES_OF_SERVICE, round(routes), trial=trial, pooled=pooled), RATE)
+def judge_over_routes(routes: float, trial: bool) -> Iterator[float]:
+    yield from judged(Driven(BOXES_OF_SERVICE, round(routes), trial=trial), RATE)
 
 
 def judge_over_boxes(boxes: float, trial: bool) -> Iterator[float]:
@@ -109,10 +118,11 @@
 
     def make() -> Driven:
         driven = Driven(BOXES_OF_SERVICE, round(routes), trial=True)
-        driven.reqs(round(SIGHT * RATE))
+        for _ in range(round(SIGHT * RATE)):
+            driven.req()
         return driven
 
-    yield from held(make, samples=3)
+    yield from held(make, samples=2)
 
 
 def memory_over_services(services: float) -> Iterator[float]:
@@ -121,14 +131,7 @@
 
 def memory_over_keys(keys: float) -> Iterator[float]:
     """Keys that met a build in a trial: remembered one by one up to a bound."""
-
-    def make() -> Driven:
-        driven = Driven(BOXES_OF_SERVICE, trial=True, keys=round(keys))
-        for _ in range(round(keys)):
-            driven.req()
-        return driven
-
-    yield from held(make, samples=2)
+    yield from held(lambda: with_keys(round(keys)), samples=1)
 
 
 A_REQ = "s of processor time a req"
@@ -141,7 +144,7 @@
     ),
     Measure(
         "take-boxes-trial",
-        "the same while a newer build is on trial at a fifth of the boxes",
+        "a req's `take` and its end, a newer build on trial at a fifth of the boxes",
         "boxes listed",
         A_REQ,
         BOXES,
@@ -149,7 +152,7 @@
     ),
     Measure(
         "take-boxes-few",
-        "the same, told of two umpires: each box is ranked",
+        "a req's `take` and its end, told of two umpires: each box is ranked",
         "boxes listed",
         A_REQ,
         BOXES,
@@ -157,7 +160,7 @@
     ),
     Measure(
         "take-umpires",
-        "the same at 1,000 boxes, no trial",
+        "a req's `take` and its end at 1,000 boxes, no trial",
         "umpires told of",
         A_REQ,
         UMPIRES,
@@ -165,14 +168,19 @@
     ),
     Measure(
         "take-services",
-        "the same with a module for each service of 25 boxes and 38 routes, in turn",
+        "a req's `take` and its end, a module for each service of 25 boxes and 38 routes, in turn",
         "services fronted",
         A_REQ,
         SERVICES,
         take_over_services,
     ),
     Measure(
-        "take-keys", "the same in a trial, each key having met a build", "keys", A_REQ, KEYS, take_over_keys
+        "take-keys",
+        "a req's `take` and its end in a trial, each key having met a build",
+        "keys",
+        A_REQ,
+        KEYS,
+        take_over_keys,
     ),
     Measure(
         "listed-whole", "`listed` with the whole list again", "boxes listed", A_CALL, BOXES, listed_whole
@@ -183,25 +191,17 @@
         "the judge's looks at 384 reqs a second, no trial",
         "routes",
         A_SECOND,
-        ROUTES,
+        JUDGED_ROUTES,
         partial(judge_over_routes, trial=False),
     ),
     Measure(
         "judge-routes-trial",
-        "the same in a trial, votes pooled among 7,300 umpires",
+        "the judge's looks at 384 reqs a second in a trial",
         "routes",
         A_SECOND,
-        ROUTES,
+        JUDGED_ROUTES,
         partial(judge_over_routes, trial=True),
     ),
-    Measure(
-        "judge-routes-alone",
-        "the same in a trial where one umpire's vote decides",
-        "routes",
-        A_SECOND,
-        ROUTES,
-        partial(judge_over_routes, trial=True, pooled=False),
-    ),
     Measure(
         "judge-boxes",
         "the judge's looks at 38 routes, no trial",
@@ -212,7 +212,7 @@
     ),
     Measure(
         "judge-boxes-trial",
-        "the same in a trial",
+        "the judge's looks at 38 routes in a trial",
         "boxes listed",
         A_SECOND,
         BOXES[:-1],
@@ -228,7 +228,7 @@
     ),
     Measure(
         "judge-services-trial",
-        "the same, a trial at each service",
+        "the looks of a module for each service, 384 reqs a second in all, a trial at each",
         "services fronted",
         A_SECOND,
         SERVICES,
