--- a/gullmount/relays/messages.py
+++ b/gullmount/relays/messages.py
@@ -239,10 +239,9 @@
     """A line of a stream of news. Raises NotUnderstood."""
     if len(line) > LINE_MOST:
         raise NotUnderstood("overlong")
-    version = parsed(line, Whose).v
-    if version != VERSION:
-        raise NotUnderstood(f"version {version}")
     head = parsed(line, HeadTold)
+    if head.v != VERSION:
+        raise NotUnderstood(f"version {head.v}")
     sound_version(head.as_of, wall)
     complete = head.as_of if head.complete is None else head.complete
     if not NONE <= complete <= head.as_of:
