--- a/gullmount/commands/scale_runs.py
+++ b/gullmount/commands/scale_runs.py
@@ -11,6 +11,7 @@
 from rich.console import Console
 
 from gullmount.commands.files import BAD_INPUT, BROKEN, Path_, loaded
+from gullmount.reports import scale_sizes as sizes
 from gullmount.reports.scale import data as page_data
 from gullmount.reports.scale import plot, summary, tables
 from gullmount.scale.fleet.terms import FleetTerms, Way
@@ -100,6 +101,25 @@
     tell(made, as_json)
 
 
+@click.command("beside")
+@click.argument("files", type=Path_, nargs=-1, required=True)
+@click.option("--chart", type=Path_, default=None, help="Draw the figures over the fleets' sizes here.")
+def beside(files: tuple[Path, ...], chart: Path | None) -> None:
+    """Tell runs of several sizes and ways side by side, from their summaries FILES, as a table in Markdown.
+
+    \b
+    gullmount scale beside docs/capacity/runs/*.json --chart docs/figures/scale.png
+    """
+    try:
+        made = [json.loads(file.read_text()) for file in files]
+        if chart is not None:
+            sizes.plot(made, chart)
+        click.echo(sizes.markdown(made), nl=False)
+    except (OSError, ValueError, KeyError) as fault:
+        click.echo(f"not a summary of a run, or not to be written: {fault}", err=True)
+        sys.exit(BAD_INPUT)
+
+
 def keep(made: dict[str, Any], data: Path | None, brief: Path | None) -> None:
     """Raises OSError."""
     if data is not None:
--- a/gullmount/commands/scaling.py
+++ b/gullmount/commands/scaling.py
@@ -8,6 +8,7 @@
 
 # By name: the module under gullmount/commands, and the command there.
 COMMANDS = {
+    "beside": ("scale_runs", "beside"),
     "page": ("scale_page", "page"),
     "report": ("scale_runs", "report"),
     "run": ("scale_runs", "run"),
--- /dev/null
+++ b/gullmount/reports/scale_sizes.py
@@ -0,0 +1,137 @@
+"""Runs of several sizes and ways side by side, from their summaries: one table, one chart."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from gullmount.reports.scale import BUDGET_BYTES, BUDGET_CORES, BUDGET_IN_FORCE, BUDGET_RESIDENT, shown
+
+Results = dict[str, Any]
+Column = tuple[str, str, float | None]  # what, its unit, its budget
+
+COLUMNS: tuple[Column, ...] = (
+    ("in force, median, mean rate", "s", None),
+    ("99th", "s", None),
+    ("last umpire", "s", BUDGET_IN_FORCE),
+    ("in force, median, ten times", "s", None),
+    ("99th, ten times", "s", None),
+    ("last umpire, ten times", "s", BUDGET_IN_FORCE),
+    ("an umpire's bytes a second", "B", BUDGET_BYTES),
+    ("highest second", "B", BUDGET_BYTES),
+    ("an umpire's cores", "%", BUDGET_CORES),
+    ("an umpire's memory", "B", BUDGET_RESIDENT),
+    ("a relay's cores, ten times", "%", None),
+    ("a relay's bytes a second, ten times", "B", None),
+    ("a relay's memory", "B", None),
+    ("the source's cores, ten times", "%", None),
+    ("the source's bytes a second, ten times", "B", None),
+    ("the source's memory", "B", None),
+    ("cold start, last umpire", "s", None),
+    ("cold start, bytes an umpire", "B", None),
+    ("relay's death, last follower at another", "s", None),
+)
+WIDTH, HEIGHT = 11.0, 7.0  # inches
+COLOURS = {"whole": "#c44e52", "relays": "#4c72b0"}
+
+
+def values(one: Results) -> list[float | None]:
+    """In the order of COLUMNS; none where it was not reached. Burdens are those of the mean rate's phase but
+    where ten times is said; the highest second is that of all phases."""
+    phases = one["phases"]
+    mean, busy = phases[0] if phases else None, phases[1] if len(phases) > 1 else None
+    source = "source" if one["way"] == "relays" else "lists"
+    umpire = umpires_of(mean)
+    highest = [umpires_of(phase)["bytes_of_one_umpire_in_a_second"]["highest"] for phase in phases]
+    deaths = [death["until_heard_at_another"]["last"] for death in one["deaths"]]
+    start = one["start"]
+    return [
+        *(
+            phase["all"][name] if phase else None
+            for phase in (mean, busy)
+            for name in ("median", "p99", "last")
+        ),
+        of(umpire, "bytes_a_second", "mean"),
+        max((value for value in highest if value is not None), default=None),
+        of(umpire, "cores", "mean"),
+        of(umpire, "resident", "highest"),
+        *(of(role(busy, "relay"), name, "mean") for name in ("cores", "bytes_a_second")),
+        of(role(busy, "relay"), "resident", "highest"),
+        *(of(role(busy, source), name, "mean") for name in ("cores", "bytes_a_second")),
+        of(role(busy, source), "resident", "highest"),
+        start["times"]["last"] if start["synced"] == start["umpires"] else None,
+        start["bytes_an_umpire"],
+        max((value for value in deaths if value is not None), default=None),
+    ]
+
+
+def umpires_of(phase: Results | None) -> Results:
+    """The hollow ones that hold most."""
+    return role(phase, "hollow umpire") or role(phase, "hollow follower")
+
+
+def role(phase: Results | None, name: str) -> Results:
+    told: Results = phase["roles"].get(name, {}) if phase else {}
+    return told
+
+
+def of(told: Results, what: str, which: str) -> float | None:
+    value: float | None = told.get(what, {}).get(which)
+    return value
+
+
+def runs(summaries: list[Results]) -> Iterator[tuple[str, int, Results]]:
+    """Way, size and run, by both."""
+    told = [(one["way"], made["fleet"]["umpires"], one) for made in summaries for one in made["runs"]]
+    return iter(sorted(told, key=lambda each: each[:2]))
+
+
+def markdown(summaries: list[Results]) -> str:
+    """A row a figure, a column a run; what is over its budget is bold."""
+    held = list(runs(summaries))
+    names = {"whole": "today", "relays": "relays"}
+    heads = ["", *(f"{names[way]}, {umpires:,}" for way, umpires, _ in held)]
+    lines = ["| " + " | ".join(heads) + " |", "| --- |" + " ---: |" * len(held)]
+    told = [values(one) for _, _, one in held]
+    reached = [f"{one['start']['synced']:,} of {one['start']['umpires']:,}" for _, _, one in held]
+    lines.append("| hollow umpires that ever had all | " + " | ".join(reached) + " |")
+    for place, (what, unit, budget) in enumerate(COLUMNS):
+        cells = []
+        for one in told:
+            value = one[place]
+            cell = shown(value, unit)
+            cells.append(
+                f"**{cell}**" if budget is not None and value is not None and value > budget else cell
+            )
+        lines.append(f"| {what} | " + " | ".join(cells) + " |")
+    checks = [all(check["held"] for check in one["checks"]) for _, _, one in held]
+    lines.append("| all checks held | " + " | ".join("yes" if one else "no" for one in checks) + " |")
+    return "\n".join(lines) + "\n"
+
+
+def plot(summaries: list[Results], path: Path) -> None:
+    """Six figures over the fleet's size, a line a way. Raises OSError."""
+    from matplotlib.figure import Figure  # noqa: PLC0415 (takes a second to load, which no other command needs)
+
+    wanted = (2, 5, 7, 10, 13, 16)
+    figure = Figure(figsize=(WIDTH, HEIGHT))
+    axes = figure.subplots(2, 3).flatten()
+    held = [(way, umpires, values(one)) for way, umpires, one in runs(summaries)]
+    for axis, place in zip(axes, wanted, strict=True):
+        what, unit, budget = COLUMNS[place]
+        for way, colour in COLOURS.items():
+            points = [(umpires, told[place]) for at, umpires, told in held if at == way and told[place]]
+            if points:
+                axis.plot(*zip(*points, strict=True), marker="o", color=colour, label=way)
+        if budget is not None:
+            axis.axhline(budget, color="black", linestyle=":", linewidth=0.8)
+        axis.set_title(f"{what}, {'s' if unit == 's' else 'cores' if unit == '%' else 'bytes'}", fontsize=8)
+        axis.set_xscale("log")
+        axis.set_yscale("log")
+        axis.set_xlabel("umpires", fontsize=7)
+        axis.grid(alpha=0.3)
+        if axis.get_legend_handles_labels()[0]:
+            axis.legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(path, dpi=100)
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -474,6 +474,13 @@
     told = CliRunner().invoke(scale_runs.report, [str(out)], catch_exceptions=False)
     assert told.exit_code == 0 and "checks" in told.output
     assert set(reports.summary(made)) > {"fleet", "runs", "command", "version"}
+    chart = tmp_path / "sizes.png"
+    told = CliRunner().invoke(scale_runs.beside, [str(brief), "--chart", str(chart)], catch_exceptions=False)
+    assert told.exit_code == 0 and chart.stat().st_size
+    table = [[cell.strip() for cell in line.split("|")[1:-1]] for line in told.output.splitlines()]
+    assert table[0] == ["", "relays, 120", "today, 120"] and table[-1] == ["all checks held", "yes", "yes"]
+    assert all(len(row) == 3 for row in table)
+    assert all(row[1] != "-" for row in table)  # on relays every figure is reached
 
 
 def children(folder: Path) -> list[int]:
@@ -532,5 +539,7 @@
     common = ["--seed", "1", "--out", str(tmp_path / "out")]
     ended = CliRunner().invoke(scale_runs.run, [str(file), *common])
     assert ended.exit_code == 2 and "bad.yaml:1: umpires" in ended.output
+    ended = CliRunner().invoke(scale_runs.beside, [str(file)])
+    assert ended.exit_code == 2
     ended = CliRunner().invoke(scale_runs.run, [str(SMALL), *common, "--umpires", "90000"])
     assert ended.exit_code == 2 and not (tmp_path / "out").exists()
