--- a/gullmount/reports/scale.py
+++ b/gullmount/reports/scale.py
@@ -15,12 +15,23 @@
 BUDGET_RESIDENT = 64e6  # bytes that it may hold
 BUDGET_IN_FORCE = 10.0  # s from a change until it is in force everywhere
 APART = {
-    "cores": "the real one's loop wakes for itself alone, where hollow ones in one process share each turn",
-    "resident": "the real one brings an interpreter and modules, which hollow ones share: base",
-    "bytes_a_second": "they ask at other moments: changes come together otherwise",
+    "cores": "a real one wakes its own loop for each timer, which hollow ones do together",
+    "resident": "a real one brings interpreter and modules: see the next line",
+    "resident_with_base": "more or fewer modules are loaded",
+    "bytes_a_second": "each fronts services of its own: see how many configurations changed for them",
+    "configurations_changed": "drawn: the few real ones front other services than the average",
     "in_force_median": "hollow ones take turns in one process: the last waits for all the others",
     "in_force_p99": "hollow ones take turns in one process: the last waits for all the others",
 }
+UNITS = {
+    "cores": "%",
+    "resident": "B",
+    "resident_with_base": "B",
+    "bytes_a_second": "B",
+    "configurations_changed": "",
+    "in_force_median": "s",
+    "in_force_p99": "s",
+}
 COLOURS = ("#4c72b0", "#dd8452", "#55a868", "#c44e52")
 WIDTH, STRIP = 11.0, 2.2  # inches: of the chart, and the height of each strip
 
@@ -117,21 +128,12 @@
 
 
 def beside(told: Results, title: str) -> Table:
-    units = {
-        "cores": "%",
-        "resident": "B",
-        "bytes_a_second": "B",
-        "in_force_median": "s",
-        "in_force_p99": "s",
-    }
     made = table(
         f"{title}: hollow umpires beside {told['real']} real ones", "", "hollow", "real", "why apart"
     )
-    for name, unit in units.items():
+    for name, unit in UNITS.items():
         pair = told[name]
         why = APART[name] if pair["apart"] else ""
-        if name == "resident" and why:
-            why += f" ({shown(told['base_of_a_hollow_process'], 'B')})"
         made.add_row(name.replace("_", " "), shown(pair["hollow"], unit), shown(pair["real"], unit), why)
     return made
 
--- a/gullmount/scale/fleet/seen.py
+++ b/gullmount/scale/fleet/seen.py
@@ -399,13 +399,16 @@
     seen_of_both = compared_by_lists if record.way == "whole" else compared_by_notes
     times, bytes_ = seen_of_both(record, since, until)
     hollow, real = hollow_used(record, since, until), used(record, REAL, since, until)
+    ground = mean([base(record, name) for name in record.sizes])
     return {
         "cores": beside(hollow["cores"]["mean"], real["cores"]["mean"]),
         "resident": beside(hollow["resident"]["mean"], real["resident"]["mean"]),
+        "resident_with_base": beside(added(hollow["resident"]["mean"], ground), real["resident"]["mean"]),
         "bytes_a_second": beside(*bytes_),
+        "configurations_changed": beside(*configured(record)),
         "in_force_median": beside(times[False]["median"], times[True]["median"]),
         "in_force_p99": beside(times[False]["p99"], times[True]["p99"]),
-        "base_of_a_hollow_process": mean([base(record, name) for name in record.sizes]),
+        "base_of_a_hollow_process": ground,
         "times_counted": {"hollow": times[False]["count"], "real": times[True]["count"]},
         "real": len(record.real),
     }
@@ -456,6 +459,22 @@
     return times, (of_hollow, moved(record, REAL, since, until)["mean"])
 
 
+def configured(record: Record) -> Pair:
+    """How many changes of configuration one of them was told: the largest part of what changes."""
+    made: dict[str, int] = defaultdict(int)
+    for one in carried(record):
+        made[one["topic"]] += one["topic"].startswith("config/")
+    whole = [one for one in record.umpires if one["process"] not in record.light]
+    counts = [
+        [sum(made[topic] for topic in one["topics"]) for one in of] for of in (whole, record.real_umpires)
+    ]
+    return mean(counts[0]), mean(counts[1])
+
+
+def added(one: float | None, other: float | None) -> float | None:
+    return None if one is None or other is None else one + other
+
+
 def mean(values: Sequence[float]) -> float | None:
     return sum(values) / len(values) if values else None
 
