Streams to one who is cut off end within 15 s; a stream that never began is closed too

Cause: a follower behind a cut stayed counted at its old relay until TCP gave up, some 15 minutes, and held the lowest in force down there. A call whose answer could not be begun left its stream uncounted for.

--- a/gullmount/calls/server.py
+++ b/gullmount/calls/server.py
@@ -88,6 +88,17 @@
             return False
     asked = Asked(event.method.decode(), event.target.decode("latin-1"), headers, body)
     said = await handler(asked, stream)
+    try:
+        return await give(conn, stream, asked, said)
+    finally:  # at once, also where the other side is gone: whoever tells must not go on
+        close = getattr(said.lines, "aclose", None)
+        if close is not None:
+            with anyio.CancelScope(shield=True):
+                await close()
+
+
+async def give(conn: h11.Connection, stream: Stream, asked: Asked, said: Said) -> bool:
+    """Whether another call may follow."""
     if said.fate == "reset":
         await abort(stream)
         return False
@@ -103,14 +114,8 @@
             out += conn.send(h11.Data(data=said.body)) or b""
         await stream.send(out + (conn.send(h11.EndOfMessage()) or b""))
         return conn.our_state is h11.DONE and conn.their_state is h11.DONE
-    try:
-        await stream.send(out)
-        async for line in said.lines:
-            await stream.send(conn.send(h11.Data(data=line)) or b"")
-    finally:  # at once, also where the other side is gone: whoever tells must not go on
-        close = getattr(said.lines, "aclose", None)
-        if close is not None:
-            with anyio.CancelScope(shield=True):
-                await close()
+    await stream.send(out)
+    async for line in said.lines:
+        await stream.send(conn.send(h11.Data(data=line)) or b"")
     await stream.send(conn.send(h11.EndOfMessage()) or b"")
     return False
--- a/gullmount/relays/streams.py
+++ b/gullmount/relays/streams.py
@@ -16,6 +16,7 @@
 WRITE_WITHIN = 10.0  # s in which the network takes a piece; one who reads a byte a second is ended then
 READ_WITHIN = 60.0  # s without a byte, after which a connection that asks for nothing is ended
 KERNEL_HOLDS = 65536  # bytes that the machine keeps for a follower: what waits there grows old
+UNHEARD_MOST = 15_000  # ms that bytes may be on their way: one that was cut off would be counted for 15 min
 
 
 class Wrapped(Stream):
@@ -68,10 +69,13 @@
 
 
 def hold_little(stream: Stream) -> None:
-    """Let the machine keep few bytes of this stream that the other side has not read."""
+    """Let the machine keep few bytes of this stream that the other side has not read, and none for long that
+    it never confirms. Something is said each second or two, so that one who is cut off is found out."""
     try:
         raw = stream.extra(SocketAttribute.raw_socket)
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_HOLDS)
+        if hasattr(socket, "TCP_USER_TIMEOUT"):  # Linux
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNHEARD_MOST)
     except (anyio.TypedAttributeLookupError, OSError):
         pass  # in memory, or gone already
 
--- a/gullmount/relays/umpire.py
+++ b/gullmount/relays/umpire.py
@@ -36,6 +36,7 @@
 RETIRED_FOR = 600.0  # s for which a route is known that is in force no more: a req of it may still be read
 SAVE_EVERY = 1.0  # s between writes of what is remembered
 ROUTES_MOST = 5000  # of one service
+MISSING = 5  # topics not heard of that are named in the log
 WHYS = 3  # faults of a configuration that are told
 
 Routes = TypeAdapter(list[RouteTerms])
@@ -156,7 +157,8 @@
             if self.all_remembered:
                 self.log("starts from what was remembered", waited=self.told.start_within)
             else:
-                self.log("waits for a relay", waited=self.told.start_within)
+                missing = sorted(self.follower.topics.unheard())
+                self.log("waits for a relay", waited=self.told.start_within, missing=missing[:MISSING])
                 await synced.wait()
         self.feed("full", list(self.holders))
         self.fed = True
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -8,6 +8,7 @@
 
 import json
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
@@ -19,12 +20,13 @@
 import anyio
 import msgspec
 import pytest
+from anyio.abc import SocketAttribute
 
 from gullmount.calls import Refused, call
 from gullmount.net import BROKEN, Stream, TcpNet
 from gullmount.relays.follower import Follower
 from gullmount.relays.following import RelayAt
-from gullmount.relays.streams import Wrapped
+from gullmount.relays.streams import KERNEL_HOLDS, UNHEARD_MOST, Wrapped, hold_little
 from gullmount.rig.processes import Process
 from tests.blocks import own_block
 from tests.edge import OK, lines
@@ -443,6 +445,26 @@
     played(tmp_path, scene, "a1")
 
 
+def test_machine_holds_little_of_a_stream_and_nothing_for_long() -> None:
+    async def play() -> None:
+        async def serve(stream: Stream) -> None:
+            hold_little(stream)
+            raw = stream.extra(SocketAttribute.raw_socket)
+            assert raw.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) <= 2 * KERNEL_HOLDS
+            assert raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == UNHEARD_MOST
+            await stream.send(b"held")
+            await stream.aclose()
+
+        net, started = TcpNet(), anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(net.serve, f"{host(9)}:7409", serve, started)
+            await started.wait()
+            assert await (await net.connect(f"{host(9)}:7409")).receive() == b"held"
+            tasks.cancel_scope.cancel()
+
+    anyio.run(play)
+
+
 def test_relay_told_to_end_lets_its_followers_go_at_once(tmp_path: Path) -> None:
     async def scene(made: Fleet) -> None:
         await made.change(*boxes(50))
