A change without entries no longer ends a configuration; relays played with drawn faults

Cause: a source that counts anew and knows the same is told on as a change of nothing, which an umpire took for a configuration without routes: it dropped them. A configuration is now always handed over whole.

--- a/gullmount/relays/follower.py
+++ b/gullmount/relays/follower.py
@@ -53,7 +53,8 @@
         """`whole`: these are all there are; else changes, None for a box that is gone."""
 
     def configuration(self, service: str, entries: Mapping[str, Any | None]) -> None:
-        """Raises Unable: what was in force before stays."""
+        """`entries`: always all there are; a change may have left them as they were. Raises Unable: what was
+        in force before stays."""
 
 
 def no_log(event: str, **fields: Any) -> None:
@@ -271,7 +272,7 @@
                 if kind == "boxes":
                     self.apply.boxes(service, news.whole, news.entries)
                 else:
-                    self.apply.configuration(service, news.entries)
+                    self.apply.configuration(service, self.all_of(news.topic))
             except Unable as fault:
                 self.reports.refused(news.topic, news.version, str(fault))
                 self.log("configuration not usable", service=service, revision=news.version, why=str(fault))
@@ -279,5 +280,14 @@
                 self.reports.applied(news.topic, news.version)
         if heard.news:
             self.to_tell.set()
+        self.look_if_synced()
+
+    def all_of(self, topic: str) -> dict[str, Any]:
+        """All entries of a topic. Guards against changes without any, as a source that counts anew brings
+        them: taken for a whole they would end a configuration."""
+        held = self.topics.held[topic]
+        return {key: msgspec.json.decode(raw) for key, raw in held.snapshot().items()}
+
+    def look_if_synced(self) -> None:
         if not self.synced.is_set() and self.topics.as_of != NONE and not self.topics.unheard():
             self.synced.set()
--- a/gullmount/relays/umpire.py
+++ b/gullmount/relays/umpire.py
@@ -241,9 +241,12 @@
         if unknown:
             raise Unable(f"unknown key {unknown[0][:40]}")
         value = entries.get("routes")
+        now = {} if value is None else {"routes": value}
+        if self.values.get(service) == now and service in self.routes_of:
+            return  # told anew by a later life of the source
         routes = [] if value is None else sound_routes(value)
         self.look_at_names(service, routes)
-        self.values[service] = {} if value is None else {"routes": value}
+        self.values[service] = now
         self.put_in_force(service, routes)
         self.to_save.set()
 
--- /dev/null
+++ b/tests/test_relay_drawn.py
@@ -0,0 +1,166 @@
+"""Source, relays and followers with drawn faults between, in virtual time: nothing old is put in force after
+newer, the sum claims no more than there is, and in peace all have the newest."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import anyio
+import msgspec
+import pytest
+
+from gullmount.calls import Refused
+from tests.relay_scene import RELAYS, SOURCE, Scene, played
+
+PLAY = 120.0  # s of faults
+PEACE = 150.0  # s within which all is well after the last: a wait has doubled to 30 s at most, and jitter
+STEADY = 12.0  # s of one stream after which its follower must be in the sum: acks, reports, and alive lines
+SERVICES = ["pay", "sell", "read"]
+
+
+class Drawn:
+    def __init__(self, scene: Scene, seed: int) -> None:
+        self.scene = scene
+        self.chance = Random(seed)
+        self.number = 0
+        self.versions: list[tuple[list[int], str, int]] = []  # of all changes of configurations, in order
+        self.mends: list[Any] = []
+        self.looks = 0
+        self.streaming: dict[str, tuple[Any, float]] = {}  # by follower: whose stream, since when
+
+    def change(self) -> None:
+        self.number += 1
+        service = self.chance.choice(SERVICES)
+        key = f"10.9.0.{self.chance.randrange(6)}:80"
+        box = None if self.chance.random() < 0.4 else {"n": self.number}
+        changes = [(f"config/{service}", "routes", {"n": self.number}), (f"boxes/{service}", key, box)]
+        scene = self.scene
+        source = scene.sources[-1]
+        if "source" in scene.scopes and not scene.ended["source"].is_set() and source.begun.is_set():
+            version = source.change(changes)
+            scene.kept.topics = {  # as its disk would have it
+                name: {entry: decoded(raw) for entry, (_, raw) in topic.live.items()}
+                for name, topic in source.topics.held.items()
+            }
+            self.versions.append((list(version), service, self.number))
+
+    async def fault(self) -> None:
+        scene, chance = self.scene, self.chance
+        what = chance.choice(["relay", "relay", "source", "cut up", "cut down", "stop", "mend", "mend"])
+        name = chance.choice(sorted(RELAYS))
+        if what == "relay":
+            await self.restart(name)
+        elif what == "source":
+            await self.restart("source")
+        elif what == "cut up":
+            self.mends.append(scene.cut(name, SOURCE))
+        elif what == "cut down":
+            self.mends.append(scene.cut(chance.choice(sorted(scene.followers)), RELAYS[name]))
+        elif what == "stop" and name in scene.clocks:
+            scene.clocks[name].ahead += 30.0
+        elif self.mends:
+            self.mends.pop(chance.randrange(len(self.mends)))()
+
+    async def restart(self, who: str) -> None:
+        """Kill it, or begin it again."""
+        scene = self.scene
+        if not scene.ended[who].is_set():
+            await scene.kill(who)
+        elif who == "source":
+            await scene.source()
+        else:
+            await scene.relay(who)
+
+    async def watch(self) -> None:
+        """Against a sum that claims more than there is."""
+        while True:
+            await anyio.sleep(1.0)
+            now = anyio.current_time()
+            for name, made in self.scene.followers.items():
+                if self.streaming.get(name, (None, 0.0))[0] != (made.at, made.streams):
+                    self.streaming[name] = (made.at, made.streams), now
+            try:
+                with anyio.fail_after(1.0):
+                    told = await self.scene.in_force()
+            except (Refused, TimeoutError):
+                continue
+            counted = {RELAYS[name] for name in RELAYS if name not in told["silent"]}
+            for name, made in self.scene.followers.items():
+                lowest = told["zones"].get(made.reports.zone, {}).get("lowest")
+                steady = made.at is not None and now - self.streaming[name][1] > STEADY
+                if lowest and steady and made.synced.is_set() and made.at and made.at.address in counted:
+                    self.look(name, lowest)
+
+    def look(self, name: str, lowest: list[int]) -> None:
+        """A follower that the sum counts, and that is not just starting."""
+        for version, service, number in self.versions:
+            if version <= lowest and f"config/{service}" in self.scene.followers[name].topics.have():
+                self.looks += 1
+                assert self.scene.got[name].number.get(service, 0) >= number, (name, number)
+
+
+def decoded(raw: bytes) -> Any:
+
+    return msgspec.json.decode(raw)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_drawn_faults_leave_nothing_old_in_force_and_all_newest_in_peace(seed: int) -> None:
+    async def play(scene: Scene) -> None:
+        drawn = Drawn(scene, seed)
+        await scene.source()
+        for name in RELAYS:
+            await scene.relay(name)
+        for number in range(8):
+            services = drawn.chance.sample(SERVICES, 2)
+            scene.follower(f"u{number}", services, zone="a" if number < 5 else "b")
+        async with anyio.create_task_group() as watching:
+            watching.start_soon(drawn.watch)
+            end = anyio.current_time() + PLAY
+            while anyio.current_time() < end:
+                await anyio.sleep(drawn.chance.expovariate(1.0))
+                if drawn.chance.random() < 0.75:
+                    drawn.change()
+                else:
+                    await drawn.fault()
+            for mend in drawn.mends:
+                mend()
+            for who in ["source", *RELAYS]:
+                if scene.ended[who].is_set():
+                    await drawn.restart(who)
+            for _ in range(9):
+                drawn.change()
+            newest = {service: number for _, service, number in drawn.versions}
+
+            def all_there() -> bool:
+                return all(
+                    scene.got[name].number.get(service, 0) == newest[service]
+                    and boxes_of(scene, service) == scene.got[name].boxes_of.get(service)
+                    for name, made in scene.followers.items()
+                    for service in {topic.partition("/")[2] for topic in made.topics.have()}
+                    if service in newest
+                )
+
+            await scene.until(all_there, within=PEACE)
+            last = drawn.versions[-1][0]
+            with anyio.fail_after(PEACE):
+                while True:
+                    zones = (await scene.in_force())["zones"]
+                    lowest = [zone.get("lowest") or [0, 0] for zone in zones.values()]
+                    if sum(zone["followers"] for zone in zones.values()) == 8 and min(lowest) >= last:
+                        break
+                    await anyio.sleep(0.5)
+            watching.cancel_scope.cancel()
+        assert drawn.looks > 100
+        for name, got in scene.got.items():
+            for service in SERVICES:
+                numbers = [number for one, number in got.numbers if one == service]
+                assert numbers == sorted(numbers), (name, service)
+
+    played(play, seed)
+
+
+def boxes_of(scene: Scene, service: str) -> dict[str, Any]:
+    held = scene.sources[-1].topics.held.get(f"boxes/{service}")
+    return {} if held is None else {key: decoded(raw) for key, (_, raw) in held.live.items()}
--- a/tests/test_relay_umpire.py
+++ b/tests/test_relay_umpire.py
@@ -8,7 +8,9 @@
 import msgspec
 
 from gullmount.calls import call
+from gullmount.commands.serving import UmpireFile
 from gullmount.net import BROKEN, Stream
+from gullmount.ownership.umpire import OwningUmpire
 from gullmount.relays.follower import Unable
 from gullmount.relays.terms import RelayedUmpireTerms
 from gullmount.relays.umpire import RelayedUmpire
@@ -373,3 +375,51 @@
         assert made.running.host.umpire.grounds.routes["pay"].objective == objective == 0.5
 
     played(play)
+
+
+def test_umpire_that_owns_work_and_follows_relays() -> None:
+    async def play(scene: Scene) -> None:
+        around = await begun(scene, "a1")
+        scene.sources[-1].change(boxes_of("one") + configured("/new"))
+        told = umpire_terms(listen="10.0.6.1:8000", launcher={"address": "10.0.4.1:7002"}).model_dump()
+        keepers = {number: f"10.0.3.{number}:7299" for number in (1, 2, 3)}
+        told["ownership"] = {"switched_on": True, "keepers": keepers}
+        at = [{"name": "a1", "address": RELAYS["a1"], "zone": "a"}]
+        told["relays"] = {"switched_on": True, "at": at, "services": ["pay"]}
+        terms = UmpireFile.model_validate(told).without_roster()
+        party = scene.party("umpire", "10.0.6.1", "a")
+        log = scene.log_of("umpire")
+        inner = OwningUmpire(terms, net=party, seed=1, log=log)  # type: ignore[arg-type]
+        made = RelayedUmpire(terms, inner, inner.running, net=party, wall=scene.wall, log=log)
+        async with made:
+            with anyio.fail_after(60):
+                await made.listening.wait()
+            assert await around.ask("/new") == 200
+            with anyio.fail_after(60):
+                await made.stop()
+            assert inner.gave_up.is_set()
+
+    played(play)
+
+
+def test_source_that_counts_anew_leaves_routes_and_boxes_as_they_are() -> None:
+    async def play(scene: Scene) -> None:
+        around = await begun(scene, "a1")
+        told = boxes_of("one") + configured("/new")
+        scene.sources[-1].change(told)
+        await scene.kept.append(told, [], dict)
+        made = await around.umpire(Kept())
+        with anyio.fail_after(60):
+            await made.listening.wait()
+        before = made.follower.topics.version("config/pay")
+        await scene.kill("source")
+        await scene.source()
+        await scene.until(lambda: made.follower.topics.version("config/pay") > before)
+        await scene.until(lambda: made.follower.reports.in_force["config/pay"] > before)
+        assert await around.ask("/new") == 200 and around.seen == ["one"]
+        for number in range(3):
+            scene.sources[-1].change(configured(f"/new{number}"))
+        await scene.until(lambda: [one.name for one, _ in made.routes_of["pay"]] == ["new2"])
+        assert [await around.ask("/new"), await around.ask("/new2")] == [404, 200]
+
+    played(play)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -321,6 +321,23 @@
     played(play)
 
 
+def test_source_that_counts_anew_and_knows_the_same_takes_no_configuration_off() -> None:
+    async def play(scene: Scene) -> None:
+        await fleet(scene, "a1")
+        scene.configure(5)
+        await scene.kept.append([("config/pay", "routes", {"n": 5})], [], dict)
+        made, got = scene.follower("one", ["pay"]), scene.got["one"]
+        await scene.until(made.synced.is_set)
+        before = made.topics.version("config/pay")
+        await scene.kill("source")
+        await scene.source()
+        await scene.until(lambda: made.topics.version("config/pay") > before)
+        await anyio.sleep(5)
+        assert {number for _, number in got.numbers} == {5}
+
+    played(play)
+
+
 def test_source_that_lost_its_number_is_not_believed() -> None:
     async def play(scene: Scene) -> None:
         await fleet(scene, "a1")
