--- a/tests/test_relay_umpire.py
+++ b/tests/test_relay_umpire.py
@@ -52,6 +52,7 @@
         self.scene = scene
         self.seen: list[str] = []  # boxes that were sent a req, in their order
         self.lives = 0
+        self.memory: Kept | None = None  # of the umpire within, beside that of what relays told
 
     async def begin(self) -> None:
         async def launcher(stream: Stream) -> None:
@@ -85,7 +86,14 @@
         terms = RelayedUmpireTerms.model_validate({**told, "relays": follow}).without_roster()
         party = self.scene.party("umpire", "10.0.6.1", "a")
         log = self.scene.log_of("umpire")
-        running = RunningUmpire(terms, net=party, seed=self.lives, log=log, wall=self.scene.wall)  # type: ignore[arg-type]
+        running = RunningUmpire(
+            terms,
+            net=party,  # type: ignore[arg-type]
+            seed=self.lives,
+            memory=self.memory,
+            log=log,
+            wall=self.scene.wall,
+        )
         made = RelayedUmpire(terms, running, running, net=party, memory=kept, wall=self.scene.wall, log=log)
 
         async def live(started: anyio.Event) -> None:
@@ -263,6 +271,29 @@
     played(play)
 
 
+def test_umpire_that_remembers_its_boxes_waits_for_the_configuration_all_the_same() -> None:
+    async def play(scene: Scene) -> None:
+        around = await begun(scene, "a1")
+        around.memory = Kept()
+        scene.sources[-1].change(boxes_of("one") + configured("/old"))
+        made = await around.umpire(Kept())
+        with anyio.fail_after(60):
+            await made.listening.wait()
+        memory = around.memory
+        await scene.until(lambda: memory.data is not None and b"10.0.5.1" in memory.data)
+        await scene.kill("umpire")
+        await scene.kill("a1")
+        again = await around.umpire(Kept())
+        await anyio.sleep(60)
+        assert again.running.known_boxes.is_set() and not again.listening.is_set()
+        await scene.relay("a1")
+        with anyio.fail_after(60):
+            await again.listening.wait()
+        assert await around.ask("/old") == 200
+
+    played(play)
+
+
 def test_umpire_that_was_down_begins_with_what_came_since() -> None:
     async def play(scene: Scene) -> None:
         around = await begun(scene, "a1")
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -397,6 +397,41 @@
     played(play)
 
 
+def test_zone_whose_followers_are_all_gone_keeps_its_topics_while_the_source_is_gone() -> None:
+    async def play(scene: Scene) -> None:
+        await fleet(scene, "a1")
+        scene.configure(1)
+        made = scene.follower("one", ["pay"])
+        await scene.until(made.synced.is_set)
+        await scene.kill("source")
+        await scene.kill("one")
+        await anyio.sleep(300)
+        late = scene.follower("late", ["pay"])
+        await scene.until(late.synced.is_set)
+        assert scene.got["late"].number == {"pay": 1}
+
+    played(play)
+
+
+def test_later_stream_of_the_same_name_ends_the_earlier_at_once() -> None:
+    async def play(scene: Scene) -> None:
+        await fleet(scene, "a1")
+        scene.sources[-1].change(boxes("pay", 2000, size=100))
+        relay = scene.relays["a1"]
+        body = FOLLOW.replace(b"config", b"boxes")
+        head = b"POST /v1/follow HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n\r\n"
+        streams = []
+        for _ in range(2):
+            stream = await scene.party("x", "10.0.8.1", "a").connect(RELAYS["a1"])
+            await stream.send(head % len(body) + body)  # and nothing is read: a write hangs
+            streams.append(stream)
+            await scene.until(lambda: relay.open == 1 and "x" in relay.telling)
+            await anyio.sleep(3)
+        assert relay.open == 1 and relay.stalled == 0
+
+    played(play)
+
+
 def test_relay_stopped_and_woken_beside_one_that_is_ahead_asks_before_it_tells() -> None:
     async def play(scene: Scene) -> None:
         await fleet(scene)
@@ -652,7 +687,10 @@
         made = scene.follower("one", services, relays={"a1": RELAYS["a1"]})
         by_second: dict[int, int] = {}
         before, configured = 0, 0.0
-        while not made.synced.is_set():
+        synced_at = 0.0
+        while not synced_at or anyio.current_time() < synced_at + 1.0:
+            if made.synced.is_set() and not synced_at:
+                synced_at = anyio.current_time()
             second = int(anyio.current_time() * 10)
             by_second[second] = by_second.get(second, 0) + made.counts.bytes_in - before
             before = made.counts.bytes_in
