A report that a relay refuses is made again, and an unknown stream is begun anew

Cause: any answer counted as taken, as a status is never nothing: what a relay refused was never told again, and the source's sum could stay behind until the next change.

--- a/gullmount/relays/follower.py
+++ b/gullmount/relays/follower.py
@@ -201,13 +201,17 @@
     async def tell(self, calls: KeptCalls, to: RelayAt) -> bool:
         """Whether all was said."""
         more, less, self.less = self.hearing.to_ask(self.clock()), self.less, set()
-        if (more or less) and not await self.say(
-            calls, to, FOLLOW, line(also(self.name, more, sorted(less)))
-        ):
-            self.again()  # it knows no stream of ours, or the call is lost: a new one asks for all
-            return True
+        if more or less:
+            status = await self.say(calls, to, FOLLOW, line(also(self.name, more, sorted(less))))
+            if status != OK:
+                self.again()  # it knows no stream of ours, or the call is lost: a new one asks for all
+                return True
         while (told := self.reports.to_tell()) is not None:
-            if not await self.say(calls, to, IN_FORCE, line(told)):
+            status = await self.say(calls, to, IN_FORCE, line(told))
+            if status == UNKNOWN:
+                self.again()  # a stream that it does not know: a new one tells it what is in force
+                return True
+            if status != OK:
                 return False
             self.reports.confirmed(told)
         return not self.topics.gaps
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -5,6 +5,7 @@
 import json
 import subprocess
 import sys
+from collections.abc import AsyncIterator
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -13,7 +14,7 @@
 import msgspec
 import pytest
 
-from gullmount.calls import Refused, call, watch_lines
+from gullmount.calls import Asked, Refused, Said, call, serve, watch_lines
 from gullmount.net import BROKEN, MemoryNet, Stream
 from gullmount.relays.follower import Follower
 from gullmount.relays.following import RelayAt
@@ -510,10 +511,10 @@
         except BROKEN:
             pass
 
-    await scene.begin("scripted", lambda started: MemoryServe(scene, address, speak, started))
+    await scene.begin("scripted", lambda started: listen(scene, address, speak, started))
 
 
-async def MemoryServe(scene: Scene, address: str, speak: Any, started: anyio.Event) -> None:
+async def listen(scene: Scene, address: str, speak: Any, started: anyio.Event) -> None:
     party = scene.party("scripted", address.rpartition(":")[0], "a")
     await party.serve(address, speak, started)
 
@@ -526,6 +527,38 @@
     return json.dumps(line).encode() + b"\n"
 
 
+@pytest.mark.parametrize("status", [503, 404])
+def test_report_that_is_not_taken_is_made_again(status: int) -> None:
+    async def play(scene: Scene) -> None:
+        follows: list[bytes] = []
+        reports: list[bytes] = []
+
+        async def lines() -> AsyncIterator[bytes]:
+            yield told(1, [1_796_000_000_000, 6])
+            await anyio.sleep_forever()
+
+        async def answer(asked: Asked, stream: Stream) -> Said:
+            if asked.target == "/v1/follow":
+                follows.append(asked.body)
+                return Said(200, lines=lines())
+            reports.append(asked.body)
+            return Said(status if len(reports) == 1 else 200)
+
+        async def speak(stream: Stream) -> None:
+            await serve(stream, answer)
+
+        await scene.begin("scripted", lambda started: listen(scene, RELAYS["a2"], speak, started))
+        scene.follower("one", ["pay"], relays={"a2": RELAYS["a2"]})
+        if status == 503:
+            await scene.until(lambda: len(reports) == 2)
+            assert reports[0] == reports[1] and len(follows) == 1
+        else:
+            await scene.until(lambda: len(follows) == 2)
+            assert b'"config/pay":[1796000000000,6]' in follows[1]
+
+    played(play)
+
+
 @pytest.mark.parametrize("then", ["close", "hang"])
 def test_half_of_a_line_is_nobodys(then: str) -> None:
     async def play(scene: Scene) -> None:
