--- a/gullmount/commands/scale_page.py
+++ b/gullmount/commands/scale_page.py
@@ -10,6 +10,7 @@
 from gullmount.commands.files import BAD_INPUT, BROKEN, Path_
 from gullmount.scale.data import BadData, read_all
 from gullmount.scale.page import BadPage, differs, renewed, tables
+from gullmount.scale.today import NEEDED
 
 
 @click.command()
@@ -29,11 +30,13 @@
     gullmount scale page --check
     """
     try:
-        made = tables(read_all(data))
+        figures = read_all(data)
+        made = tables(figures)
         text = path.read_text()
         if check:
             if (told := differs(text, made)) is not None:
-                click.echo(f"{path}:{told}", err=True)
+                lacking = [f"{data / name}.json" for name in sorted(NEEDED - figures.slopes.keys())]
+                click.echo(f"{path}:{told}{'; missing: ' * bool(lacking)}{', '.join(lacking)}", err=True)
                 sys.exit(BROKEN)
             return
         path.write_text(renewed(text, made))
--- a/gullmount/scale/page.py
+++ b/gullmount/scale/page.py
@@ -413,7 +413,7 @@
 
 def apart(has: str, gives: str) -> str:
     """The cells that differ first."""
-    for one, other in zip(has.split(" | "), gives.split(" | "), strict=False):
+    for one, other in zip(has.strip("| ").split(" | "), gives.strip("| ").split(" | "), strict=False):
         if one != other:
             return f"the page has {one!r}, the data give {other!r}"
     return f"the page has {has!r}, the data give {gives!r}"
--- a/gullmount/scale/today.py
+++ b/gullmount/scale/today.py
@@ -434,5 +434,6 @@
     Row(OWNER, "memory", "evidence held by a judge", "datagrams to peers"),
 )
 
+NEEDED = frozenset(term.slope for row in ROWS for term in row.terms)  # slopes
 # How many services an umpire fronts is open: None for all.
 FRONTED: tuple[int | None, ...] = (1, 8, 40, None)
