--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import math
+import subprocess
+import sys
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
@@ -230,3 +232,9 @@
     told = CliRunner().invoke(main, ["scale", "slopes", "--list"])
     assert told.exit_code == 0
     assert len(told.output.splitlines()) == len(MEASURES)
+
+
+def test_run_loads_nothing_of_scale() -> None:
+    code = "import sys, gullmount.platform.__main__; print([one for one in sys.modules if 'scale' in one])"
+    loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert loaded.stdout == "[]\n"
