The page's roles name what carries them; a fit takes all points unless the last two decades foretell far better

A role's line now stands by mechanism with its budgets, the general roster's bound of a line has its row.

--- a/gullmount/scale/fit.py
+++ b/gullmount/scale/fit.py
@@ -20,8 +20,10 @@
 # Student's t that 95 in 100 lie within, by degrees of freedom from 1 (two-sided; any table of it).
 T95 = (12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228)
 T95_MANY = 1.96
-FITTED_SPAN = 200.0  # below the last point: two decades and some are fitted, as small sizes have other costs
+FITTED_SPAN = 200.0  # below the last point: two decades and some
 FITTED_LEAST = 4  # points of a fit
+BETTER = 0.9  # times as far off, from which on a more free form is taken
+FAR_BETTER = 0.5  # times as far off, from which on the small points are left out
 TINY = 1e-12  # share of a value below which a residual is the arithmetic's own
 
 Floats = NDArray[np.float64]
@@ -117,15 +119,27 @@
     return sqrt(sum(off) / len(off))
 
 
-def fitted(xs: Sequence[float], ys: Sequence[float]) -> Fit:
-    """The form that foretells best; the simpler one where a more free one is no better."""
+def best_form(xs: Sequence[float], ys: Sequence[float]) -> tuple[Form, float]:
+    """The form that foretells best, and how far off; the simpler one where a more free one is no better."""
     best = FORMS[0]
     least = foretold(best, xs, ys)
     for form in FORMS[1:]:
         off = foretold(form, xs, ys) if len(form.terms) < len(xs) - 1 else inf
-        if isfinite(off) and off < 0.9 * least and least > TINY:
+        if isfinite(off) and off < BETTER * least and least > TINY:
             best, least = form, off
-    return Fit(best, xs, ys)
+    return best, least
+
+
+def fitted(xs: Sequence[float], ys: Sequence[float]) -> Fit:
+    """Through all points, or through those of the last two decades where that foretells far better: what is
+    small may have other costs."""
+    form, off = best_form(xs, ys)
+    first = min(len(xs) - FITTED_LEAST, sum(x < xs[-1] / FITTED_SPAN for x in xs))
+    if first > 0:
+        of_last, off_last = best_form(xs[first:], ys[first:])
+        if off_last < FAR_BETTER * off and off > TINY:
+            return Fit(of_last, xs[first:], ys[first:])
+    return Fit(form, xs, ys)
 
 
 class Curve:
@@ -137,9 +151,7 @@
         self.middle = [median(point.values) for point in kept]
         self.low = [min(point.values) for point in kept]
         self.high = [max(point.values) for point in kept]
-        first = min(len(kept) - FITTED_LEAST, sum(x < self.xs[-1] / FITTED_SPAN for x in self.xs))
-        self.fitted_from = max(0, first)
-        self.fit = fitted(self.xs[self.fitted_from :], self.middle[self.fitted_from :])
+        self.fit = fitted(self.xs, self.middle)
 
     def read(self, x: float) -> Read:
         """Below the first point its own value stands: a cost does not vanish."""
--- a/gullmount/scale/page.py
+++ b/gullmount/scale/page.py
@@ -21,6 +21,7 @@
 PLAIN = 1e-4, 1e15  # between which it is told without an exponent
 EXACT = 0.005  # share below which residuals are not told one by one
 NOT_MEASURED = "not measured"
+ASPECTS = (("state", "memory"), ("messages",), ("processor time",), ("time",))  # columns of a role
 ROLES_LAST = ("relay", "source", "follower")  # whose rows come from runs
 
 UNITS: Mapping[str, tuple[tuple[float, str], ...]] = {
@@ -145,23 +146,21 @@
 
 
 def of_roles(answers: Sequence[Answer], figures: Figures) -> list[str]:
-    """By role: state, messages, processor time and memory, the row that breaks first of each."""
-    aspects = {"state": ("state", "memory"), "messages": ("messages",), "processor time": ("processor time",)}
-    roles = dict.fromkeys(row.role for row in ROWS)
+    """By role and the mechanism that carries it: all that it needs at the target, of which budget."""
     lines = []
-    for role in roles:
-        cells = [role]
-        for held in aspects.values():
-            of_role = [one for one in answers if one.row.role == role and one.row.aspect in held]
-            told = [f"{one.row.what}: {need(one)}{of_budget(one)}" for one in of_role]
-            cells.append("; ".join(told) or NOT_MEASURED)
+    carried = dict.fromkeys((one.role, one.carried) for one in ROWS)
+    for role, by in carried:
+        cells = [role, by]
+        for held in ASPECTS:
+            of_both = [one for one in answers if (one.row.role, one.row.carried) == (role, by)]
+            told = [
+                f"{one.row.what}: {need(one)}{of_budget(one)}" for one in of_both if one.row.aspect in held
+            ]
+            cells.append("; ".join(told) or "-")
         lines.append(cells)
-    for role in ROLES_LAST:
-        if role not in roles and not any(
-            row.role == role for run in figures.runs.values() for row in run.rows
-        ):
-            lines.append([role, NOT_MEASURED, NOT_MEASURED, NOT_MEASURED])
-    return table(("role", "state and memory", "messages", "processor time"), lines)
+    measured = {row.role for run in figures.runs.values() for row in run.rows}
+    lines += [[role, *[NOT_MEASURED] * (1 + len(ASPECTS))] for role in ROLES_LAST if role not in measured]
+    return table(("role", "carried by", "state and memory", "messages", "processor time", "time"), lines)
 
 
 def of_fronted(answers: Answers) -> list[str]:
--- a/gullmount/scale/today.py
+++ b/gullmount/scale/today.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 
+from gullmount.calls.client import LINE_MOST
 from gullmount.platform.discovery import ANSWER_MOST
 from gullmount.scale.data import Target
 from gullmount.scale.rows import Row, Share, Size, Term
@@ -253,6 +254,16 @@
         one(float(ANSWER_MOST)),
         "the client's bound of an answer",
     ),
+    Row(
+        UMPIRE,
+        "messages",
+        "the general roster's line that is taken at all",
+        "one line for the fleet, whole to each umpire (the general roster)",
+        "bytes",
+        (Term("roster-bytes", boxes),),
+        one(float(LINE_MOST)),
+        "the client's bound of a line",
+    ),
     Row(
         UMPIRE,
         "messages",
