The judge's looks are counted before their time is told by the second

Samples of the judge's slopes fell into two groups a factor of two apart: where the clock came a rounding error early a quarter of a second had no look, and was counted as one. They are measured anew; what was measured of them before is thrown away.

--- a/gullmount/scale/slopes/module.py
+++ b/gullmount/scale/slopes/module.py
@@ -7,6 +7,7 @@
 from functools import partial
 
 from gullmount.interface import ListKind
+from gullmount.policy import JUDGE_EVERY
 from gullmount.scale.slopes.alone import RATE, Driven, lines
 from gullmount.scale.slopes.measure import SAMPLES, Measure, held, timed
 
@@ -75,18 +76,23 @@
 
 
 def judged(driven: Driven, rate: float) -> Iterator[float]:
-    """Seconds of processor time that the judge takes a second, four looks, with the evidence of 20 s."""
+    """Seconds of processor time that the judge takes a second, four looks, with the evidence of 20 s.
+
+    Looks are counted, not taken for granted: a clock that comes a rounding error early has none.
+    """
     driven.reqs(round(SIGHT * rate))
     for _ in range(SAMPLES):
-        spent = 0.0
-        for _ in range(LOOKS):
-            for _ in range(max(1, round(rate / 4))):
+        spent, looks = 0.0, 0
+        while looks < LOOKS:
+            for _ in range(max(1, round(rate * JUDGE_EVERY))):
                 driven.req()
+            due = driven.host.due()
             begun = time.process_time()
-            for callback in driven.host.due():
-                callback()
+            for look in due:
+                look()
             spent += time.process_time() - begun
-        yield spent / LOOKS * 4
+            looks += len(due)
+        yield spent / looks / JUDGE_EVERY
 
 
 def judge_over_routes(routes: float, trial: bool) -> Iterator[float]:
