--- a/gullmount/scale/fit.py
+++ b/gullmount/scale/fit.py
@@ -23,7 +23,7 @@
 FITTED_SPAN = 200.0  # below the last point: two decades and some
 FITTED_LEAST = 4  # points of a fit
 BETTER = 0.9  # times as far off, from which on a more free form is taken
-FAR_BETTER = 0.5  # times as far off, from which on the small points are left out
+CLEARLY_BETTER = 0.8  # times as far off, from which on the small points are left out
 TINY = 1e-12  # share of a value below which a residual is the arithmetic's own
 
 Floats = NDArray[np.float64]
@@ -131,13 +131,13 @@
 
 
 def fitted(xs: Sequence[float], ys: Sequence[float]) -> Fit:
-    """Through all points, or through those of the last two decades where that foretells far better: what is
-    small may have other costs."""
+    """Through all points, or through those of the last two decades where that foretells clearly better: what
+    is small may have other costs."""
     form, off = best_form(xs, ys)
     first = min(len(xs) - FITTED_LEAST, sum(x < xs[-1] / FITTED_SPAN for x in xs))
     if first > 0:
         of_last, off_last = best_form(xs[first:], ys[first:])
-        if off_last < FAR_BETTER * off and off > TINY:
+        if off_last < CLEARLY_BETTER * off and off > TINY:
             return Fit(of_last, xs[first:], ys[first:])
     return Fit(form, xs, ys)
 
--- a/gullmount/scale/page.py
+++ b/gullmount/scale/page.py
@@ -19,6 +19,7 @@
 END = "<!-- end -->"
 FIGURES = 3  # that a number is told with
 PLAIN = 1e-4, 1e15  # between which it is told without an exponent
+NOTHING = 1e-5  # cores below which no figure is told
 EXACT = 0.005  # share below which residuals are not told one by one
 NOT_MEASURED = "not measured"
 ASPECTS = (("state", "memory"), ("messages",), ("processor time",), ("time",))  # columns of a role
@@ -65,8 +66,14 @@
     return joined(number(value / factor), name)
 
 
+def negligible(value: float, unit: str) -> bool:
+    return unit == "cores" and value < NOTHING
+
+
 def spread(read: Read, unit: str) -> str:
     """Value and interval in one unit, and the stretch where there is one."""
+    if negligible(read.high, unit):
+        return f"below {joined(f'{100 * NOTHING:g}', '% of a core')}{stretched(read.stretch)}"
     factor, name = scaled(read.value, unit)
     told = joined(number(read.value / factor), name)
     if number(read.low / factor, 2) != number(read.high / factor, 2):
--- a/gullmount/scale/slopes/module.py
+++ b/gullmount/scale/slopes/module.py
@@ -100,8 +100,7 @@
 
 
 def judge_over_boxes(boxes: float, trial: bool) -> Iterator[float]:
-    rate = min(RATE, 200_000 / boxes)
-    yield from judged(Driven(round(boxes), trial=trial, rate=rate), rate)
+    yield from judged(Driven(round(boxes), trial=trial), RATE)
 
 
 def judge_over_services(services: float, trial: bool) -> Iterator[float]:
@@ -210,7 +209,7 @@
     ),
     Measure(
         "judge-boxes",
-        "the judge's looks at 38 routes, no trial",
+        "the judge's looks at 38 routes and 384 reqs a second, no trial",
         "boxes listed",
         A_SECOND,
         BOXES[:-1],
@@ -218,7 +217,7 @@
     ),
     Measure(
         "judge-boxes-trial",
-        "the judge's looks at 38 routes in a trial",
+        "the judge's looks at 38 routes and 384 reqs a second in a trial",
         "boxes listed",
         A_SECOND,
         BOXES[:-1],
