--- /dev/null
+++ b/gullmount/commands/scale_runs.py
@@ -0,0 +1,142 @@
+"""Fleets on this machine: played, and their results told again."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+from rich.console import Console
+
+from gullmount.commands.files import BAD_INPUT, BROKEN, Path_, loaded
+from gullmount.reports import scale_sizes as sizes
+from gullmount.reports.scale import data as page_data
+from gullmount.reports.scale import plot, summary, tables
+from gullmount.scale.fleet.terms import FleetTerms, Way
+
+RESULTS = "results.json"
+CHART = "results.png"
+WIDTH = 140  # columns of tables that go to a file
+
+
+data_option = click.option(
+    "--data", type=Path_, default=None, help="Write the figures as the capacity page takes them here."
+)
+summary_option = click.option(
+    "--summary", "brief", type=Path_, default=None, help="Write the results without seconds here."
+)
+
+
+@click.command("run")
+@click.argument("file", type=Path_)
+@click.option("--seed", type=int, required=True, help="Draws the fleet and its changes.")
+@click.option("--out", type=Path_, required=True, help="Folder for the record, results.json and the chart.")
+@click.option("--umpires", type=click.IntRange(1), default=None, help="Another size, the rest in proportion.")
+@click.option(
+    "--way", type=click.Choice(["whole", "relays"]), default=None, help="Only this one of the file's."
+)
+@data_option
+@summary_option
+@click.option("--json", "as_json", is_flag=True, help="The results as JSON on standard output.")
+def run(
+    file: Path,
+    seed: int,
+    out: Path,
+    umpires: int | None,
+    way: Way | None,
+    data: Path | None,
+    brief: Path | None,
+    as_json: bool,
+) -> None:
+    """Play the fleet of FILE on this machine and hold its record against the checks.
+
+    Loopback only; it ends by itself, and its processes with it. Exit code 0 with all checks held, 1 with one
+    broken, 2 for bad input. Timings are told, not judged.
+
+    \b
+    gullmount scale run days/scale/small.yaml --seed 7 --out /tmp/small
+    gullmount scale run days/scale/target.yaml --seed 7 --umpires 2300 --out /tmp/target-2300
+    """
+    from gullmount.scale.fleet.run import run as play  # noqa: PLC0415 (it loads what `report` does without)
+
+    terms = loaded(file, FleetTerms)
+    try:
+        if umpires is not None:
+            terms = terms.sized(umpires)
+    except ValueError as fault:
+        click.echo(f"--umpires {umpires}: {fault}", err=True)
+        sys.exit(BAD_INPUT)
+    if way is not None:
+        terms = terms.model_copy(update={"ways": [way]})
+    command = f"gullmount scale run {file} --seed {seed}"
+    command += f" --umpires {umpires}" if umpires is not None else ""
+    command += f" --way {way}" if way is not None else ""
+    console = Console(stderr=True)
+    try:
+        made = play(terms, seed, out, lambda text: console.print(text, markup=False), command)
+        keep(made, data, brief)
+        plot(made, out / CHART)
+    except OSError as fault:
+        click.echo(f"{fault.filename or out}: {fault.strerror}", err=True)
+        sys.exit(BAD_INPUT)
+    tell(made, as_json)
+
+
+@click.command("report")
+@click.argument("folder", type=Path_)
+@data_option
+@summary_option
+@click.option("--json", "as_json", is_flag=True, help="The results as JSON on standard output.")
+def report(folder: Path, data: Path | None, brief: Path | None, as_json: bool) -> None:
+    """Tell the results of the run in FOLDER again, and draw its chart anew."""
+    try:
+        made = json.loads((folder / RESULTS).read_text())
+        keep(made, data, brief)
+        plot(made, folder / CHART)
+    except (OSError, ValueError) as fault:
+        click.echo(f"{folder}: {fault}", err=True)
+        sys.exit(BAD_INPUT)
+    tell(made, as_json)
+
+
+@click.command("beside")
+@click.argument("files", type=Path_, nargs=-1, required=True)
+@click.option("--chart", type=Path_, default=None, help="Draw the figures over the fleets' sizes here.")
+def beside(files: tuple[Path, ...], chart: Path | None) -> None:
+    """Tell runs of several sizes and ways side by side, from their summaries FILES, as a table in Markdown.
+
+    \b
+    gullmount scale beside docs/capacity/runs/*.json --chart docs/figures/scale.png
+    """
+    try:
+        made = [json.loads(file.read_text()) for file in files]
+        if chart is not None:
+            sizes.plot(made, chart)
+        click.echo(sizes.markdown(made), nl=False)
+    except (OSError, ValueError, KeyError) as fault:
+        click.echo(f"not a summary of a run, or not to be written: {fault}", err=True)
+        sys.exit(BAD_INPUT)
+
+
+def keep(made: dict[str, Any], data: Path | None, brief: Path | None) -> None:
+    """Raises OSError."""
+    if data is not None:
+        data.write_text(json.dumps(page_data(made, data.stem), indent=1) + "\n")
+    if brief is not None:
+        brief.write_text(json.dumps(summary(made), indent=1) + "\n")
+
+
+def tell(made: dict[str, Any], as_json: bool) -> None:
+    """And end: with 0 where all checks held."""
+    if as_json:
+        click.echo(json.dumps(made))
+    else:
+        console = Console()
+        if not console.is_terminal:
+            console.width = WIDTH
+        for table in tables(made):
+            console.print(table)
+    held = all(check["held"] for one in made["runs"] for check in one["checks"])
+    sys.exit(0 if held else BROKEN)
--- a/gullmount/relays/follower.py
+++ b/gullmount/relays/follower.py
@@ -53,7 +53,8 @@
         """`whole`: these are all there are; else changes, None for a box that is gone."""
 
     def configuration(self, service: str, entries: Mapping[str, Any | None]) -> None:
-        """Raises Unable: what was in force before stays."""
+        """`entries`: always all there are; a change may have left them as they were. Raises Unable: what was
+        in force before stays."""
 
 
 def no_log(event: str, **fields: Any) -> None:
@@ -200,13 +201,17 @@
     async def tell(self, calls: KeptCalls, to: RelayAt) -> bool:
         """Whether all was said."""
         more, less, self.less = self.hearing.to_ask(self.clock()), self.less, set()
-        if (more or less) and not await self.say(
-            calls, to, FOLLOW, line(also(self.name, more, sorted(less)))
-        ):
-            self.again()  # it knows no stream of ours, or the call is lost: a new one asks for all
-            return True
+        if more or less:
+            status = await self.say(calls, to, FOLLOW, line(also(self.name, more, sorted(less))))
+            if status != OK:
+                self.again()  # it knows no stream of ours, or the call is lost: a new one asks for all
+                return True
         while (told := self.reports.to_tell()) is not None:
-            if not await self.say(calls, to, IN_FORCE, line(told)):
+            status = await self.say(calls, to, IN_FORCE, line(told))
+            if status == UNKNOWN:
+                self.again()  # a stream that it does not know: a new one tells it what is in force
+                return True
+            if status != OK:
                 return False
             self.reports.confirmed(told)
         return not self.topics.gaps
@@ -271,7 +276,7 @@
                 if kind == "boxes":
                     self.apply.boxes(service, news.whole, news.entries)
                 else:
-                    self.apply.configuration(service, news.entries)
+                    self.apply.configuration(service, self.all_of(news.topic))
             except Unable as fault:
                 self.reports.refused(news.topic, news.version, str(fault))
                 self.log("configuration not usable", service=service, revision=news.version, why=str(fault))
@@ -279,5 +284,14 @@
                 self.reports.applied(news.topic, news.version)
         if heard.news:
             self.to_tell.set()
+        self.look_if_synced()
+
+    def all_of(self, topic: str) -> dict[str, Any]:
+        """All entries of a topic. Guards against changes without any, as a source that counts anew brings
+        them: taken for a whole they would end a configuration."""
+        held = self.topics.held[topic]
+        return {key: msgspec.json.decode(raw) for key, raw in held.snapshot().items()}
+
+    def look_if_synced(self) -> None:
         if not self.synced.is_set() and self.topics.as_of != NONE and not self.topics.unheard():
             self.synced.set()
--- a/tests/test_relay_umpire.py
+++ b/tests/test_relay_umpire.py
@@ -8,7 +8,9 @@
 import msgspec
 
 from gullmount.calls import call
+from gullmount.commands.serving import UmpireFile
 from gullmount.net import BROKEN, Stream
+from gullmount.ownership.umpire import OwningUmpire
 from gullmount.relays.follower import Unable
 from gullmount.relays.terms import RelayedUmpireTerms
 from gullmount.relays.umpire import RelayedUmpire
@@ -50,6 +52,7 @@
         self.scene = scene
         self.seen: list[str] = []  # boxes that were sent a req, in their order
         self.lives = 0
+        self.memory: Kept | None = None  # of the umpire within, beside that of what relays told
 
     async def begin(self) -> None:
         async def launcher(stream: Stream) -> None:
@@ -83,7 +86,14 @@
         terms = RelayedUmpireTerms.model_validate({**told, "relays": follow}).without_roster()
         party = self.scene.party("umpire", "10.0.6.1", "a")
         log = self.scene.log_of("umpire")
-        running = RunningUmpire(terms, net=party, seed=self.lives, log=log, wall=self.scene.wall)  # type: ignore[arg-type]
+        running = RunningUmpire(
+            terms,
+            net=party,  # type: ignore[arg-type]
+            seed=self.lives,
+            memory=self.memory,
+            log=log,
+            wall=self.scene.wall,
+        )
         made = RelayedUmpire(terms, running, running, net=party, memory=kept, wall=self.scene.wall, log=log)
 
         async def live(started: anyio.Event) -> None:
@@ -261,6 +271,29 @@
     played(play)
 
 
+def test_umpire_that_remembers_its_boxes_waits_for_the_configuration_all_the_same() -> None:
+    async def play(scene: Scene) -> None:
+        around = await begun(scene, "a1")
+        around.memory = Kept()
+        scene.sources[-1].change(boxes_of("one") + configured("/old"))
+        made = await around.umpire(Kept())
+        with anyio.fail_after(60):
+            await made.listening.wait()
+        memory = around.memory
+        await scene.until(lambda: memory.data is not None and b"10.0.5.1" in memory.data)
+        await scene.kill("umpire")
+        await scene.kill("a1")
+        again = await around.umpire(Kept())
+        await anyio.sleep(60)
+        assert again.running.known_boxes.is_set() and not again.listening.is_set()
+        await scene.relay("a1")
+        with anyio.fail_after(60):
+            await again.listening.wait()
+        assert await around.ask("/old") == 200
+
+    played(play)
+
+
 def test_umpire_that_was_down_begins_with_what_came_since() -> None:
     async def play(scene: Scene) -> None:
         around = await begun(scene, "a1")
@@ -373,3 +406,51 @@
         assert made.running.host.umpire.grounds.routes["pay"].objective == objective == 0.5
 
     played(play)
+
+
+def test_umpire_that_owns_work_and_follows_relays() -> None:
+    async def play(scene: Scene) -> None:
+        around = await begun(scene, "a1")
+        scene.sources[-1].change(boxes_of("one") + configured("/new"))
+        told = umpire_terms(listen="10.0.6.1:8000", launcher={"address": "10.0.4.1:7002"}).model_dump()
+        keepers = {number: f"10.0.3.{number}:7299" for number in (1, 2, 3)}
+        told["ownership"] = {"switched_on": True, "keepers": keepers}
+        at = [{"name": "a1", "address": RELAYS["a1"], "zone": "a"}]
+        told["relays"] = {"switched_on": True, "at": at, "services": ["pay"]}
+        terms = UmpireFile.model_validate(told).without_roster()
+        party = scene.party("umpire", "10.0.6.1", "a")
+        log = scene.log_of("umpire")
+        inner = OwningUmpire(terms, net=party, seed=1, log=log)  # type: ignore[arg-type]
+        made = RelayedUmpire(terms, inner, inner.running, net=party, wall=scene.wall, log=log)
+        async with made:
+            with anyio.fail_after(60):
+                await made.listening.wait()
+            assert await around.ask("/new") == 200
+            with anyio.fail_after(60):
+                await made.stop()
+            assert inner.gave_up.is_set()
+
+    played(play)
+
+
+def test_source_that_counts_anew_leaves_routes_and_boxes_as_they_are() -> None:
+    async def play(scene: Scene) -> None:
+        around = await begun(scene, "a1")
+        told = boxes_of("one") + configured("/new")
+        scene.sources[-1].change(told)
+        await scene.kept.append(told, [], dict)
+        made = await around.umpire(Kept())
+        with anyio.fail_after(60):
+            await made.listening.wait()
+        before = made.follower.topics.version("config/pay")
+        await scene.kill("source")
+        await scene.source()
+        await scene.until(lambda: made.follower.topics.version("config/pay") > before)
+        await scene.until(lambda: made.follower.reports.in_force["config/pay"] > before)
+        assert await around.ask("/new") == 200 and around.seen == ["one"]
+        for number in range(3):
+            scene.sources[-1].change(configured(f"/new{number}"))
+        await scene.until(lambda: [one.name for one, _ in made.routes_of["pay"]] == ["new2"])
+        assert [await around.ask("/new"), await around.ask("/new2")] == [404, 200]
+
+    played(play)
