A relay takes calls of 1 MiB at most; a flood of connections does not fill the log

Need: bodies bounded by what a follower can mean (some 600 KB for all services), one line of the log at the 1st, 2nd, 4th refused connection and so on.

--- a/gullmount/relays/relay.py
+++ b/gullmount/relays/relay.py
@@ -30,6 +30,7 @@
 STALE_AFTER = 5.0  # s without the source's word from which on followers are told so: it speaks each second
 STOOD_STILL = 3.0  # s between two looks at the clock from which on this process counts as stopped and woken
 ASK_WITHIN = 5.0  # s in which the source is asked after that; then what is held is told on
+BODY_MOST = 1 << 20  # bytes of a follower's call: one that fronts all 5,500 services asks with some 600 KB
 TOPICS_MOST = 40_000  # followed for all followers: boxes and configuration of 5,500 services are 11,000
 
 
@@ -55,6 +56,7 @@
             connections=terms.connections,
             alive_every=ALIVE_EVERY,
             rate=terms.rate,
+            body_most=BODY_MOST,
             log=log,
             clock=clock,
             wall=wall,
--- a/gullmount/relays/serving.py
+++ b/gullmount/relays/serving.py
@@ -157,7 +157,8 @@
     async def connected(self, stream: Stream) -> None:
         if self.open >= self.connections:
             self.crowded += 1
-            self.log("too many connections", count=self.crowded)
+            if not self.crowded & (self.crowded - 1):  # 1, 2, 4 and so on: a flood must not fill the log
+                self.log("too many connections", count=self.crowded)
             await abort(stream)
             return
         hold_little(stream)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -689,6 +689,18 @@
     played(play)
 
 
+def test_body_that_is_too_long_ends_its_connection() -> None:
+    async def play(scene: Scene) -> None:
+        await fleet(scene, "a1")
+        asker = scene.party("asker", "10.0.8.1", "s")
+        with pytest.raises(Refused):
+            await call(asker, RELAYS["a1"], "POST", "/v1/follow", b"x" * (2 << 20))
+        made = scene.follower("one", ["pay"])
+        await scene.until(made.synced.is_set)
+
+    played(play)
+
+
 def test_connections_and_followers_are_bounded() -> None:
     async def play(scene: Scene) -> None:
         await fleet(scene, "a1")
@@ -698,6 +710,7 @@
         opened = [await party.connect(RELAYS["a1"]) for _ in range(5)]
         await scene.until(lambda: relay.crowded == 2)
         assert relay.open == 3
+        assert [said["count"] for said in scene.logged("a1", "too many connections")] == [1, 2]
         for stream in opened:
             await stream.aclose()
         await scene.until(lambda: relay.open == 0)
