--- a/gullmount/scale/fit.py
+++ b/gullmount/scale/fit.py
@@ -51,6 +51,7 @@
 FORMS = (
     Form("a + b x", (np.ones_like, lambda x: x)),
     Form("a x^b", (np.ones_like, np.log), power=True),
+    Form("a + b / x", (np.ones_like, lambda x: 1 / x)),
     Form("a + b x + c x^2", (np.ones_like, lambda x: x, lambda x: x**2)),
 )
 
@@ -106,8 +107,9 @@
     def text(self) -> str:
         if self.form.power:
             return f"{exp(self.found[0]):.3g} x^{self.found[1]:.2f}"
-        names = ("", " x", " x^2")
-        return " + ".join(f"{self.found[at]:.3g}{names[of]}" for at, of in enumerate(self.used))
+        names = self.form.name.split(" + ")
+        told = (names[of].replace("abc"[of], f"{self.found[at]:.3g}", 1) for at, of in enumerate(self.used))
+        return " + ".join(told)
 
 
 def foretold(form: Form, xs: Sequence[float], ys: Sequence[float]) -> float:
--- a/gullmount/scale/page.py
+++ b/gullmount/scale/page.py
@@ -20,6 +20,7 @@
 FIGURES = 3  # that a number is told with
 PLAIN = 1e-4, 1e15  # between which it is told without an exponent
 NOTHING = 1e-5  # cores below which no figure is told
+UNFIT = 0.5  # share of a residual from which on a form is not told as a fit
 EXACT = 0.005  # share below which residuals are not told one by one
 NOT_MEASURED = "not measured"
 ASPECTS = (("state", "memory"), ("messages",), ("processor time",), ("time",))  # columns of a role
@@ -294,6 +295,8 @@
 def fit(curve: Curve) -> str:
     low, high = curve.fit.interval(curve.xs[-1])
     worst = max(map(abs, curve.fit.residuals))
+    if worst > UNFIT:
+        return f"none within {UNFIT:.0%}: the nearest is {curve.fit.text()}, off by {worst:.0%}"
     residuals = ", ".join(f"{left:+.0%}" for left in curve.fit.residuals) if worst >= EXACT else "below 0.5%"
     return f"{curve.fit.text()} ({number(low, 2)} to {number(high, 2)}); residuals {residuals}"
 
--- a/tests/test_scale_page.py
+++ b/tests/test_scale_page.py
@@ -194,6 +194,12 @@
     assert "gullmount scale slopes --only page-bytes" in line
 
 
+def test_a_slope_that_no_form_fits_says_so() -> None:
+    made = slope("page-bytes", lambda x: 7.0 if x < 500 else 300.0)
+    (line,) = [line for line in tables(Figures(TARGET, {made.name: made}))["slopes"] if "page-bytes" in line]
+    assert "none within 50%" in line
+
+
 def test_version_machine_time_and_load_stand_there() -> None:
     told = "\n".join(tables(figures())["origin"])
     for part in (
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -41,6 +41,7 @@
     [
         (lambda x: 3.0 + 0.5 * x, "a + b x"),
         (lambda x: 2.0 * x**1.4, "a x^b"),
+        (lambda x: 2.0 + 70.0 / x, "a + b / x"),
         (lambda x: 5.0 + 0.1 * x + 0.01 * x**2, "a + b x + c x^2"),
     ],
 )
