A run of slopes that is ended leaves no process behind

Ended by SIGTERM, the command left the process that measured, and that its list service or umpire: they stood for minutes beside other work. The measuring process now waits for its parent, is interrupted when that has gone, ends what it started and ends.

--- a/gullmount/scale/slopes/catalogue.py
+++ b/gullmount/scale/slopes/catalogue.py
@@ -5,6 +5,9 @@
 import multiprocessing
 import os
 import platform
+import signal
+import threading
+import time
 from collections.abc import Callable, Iterator, Sequence
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
@@ -21,6 +24,7 @@
     for measure in part.MEASURES
 }
 GIB = 1 << 30
+ENDED_WITHIN = 2.0  # s for a measurement to end what it started
 DIGITS = 6  # of a value: finer ones are noise
 
 Sampler = Callable[[Measure, float], list[float]]
@@ -66,10 +70,25 @@
     return [float(f"{value:.{DIGITS}g}") for value in measure.sample(x)]
 
 
+def end_with_parent() -> None:
+    """In a thread of a measuring process. Guards against processes that a run which was ended leaves behind:
+    the one that measures is interrupted, so that it ends those that it started, and then gone in any case."""
+    parent = multiprocessing.parent_process()
+    assert parent is not None
+
+    def wait() -> None:
+        parent.join()
+        os.kill(os.getpid(), signal.SIGINT)
+        time.sleep(ENDED_WITHIN)
+        os._exit(1)
+
+    threading.Thread(target=wait, daemon=True).start()
+
+
 def sampled_apart(measure: Measure, x: float) -> list[float]:
     """In a fresh process: what an earlier point left in memory would be measured too."""
     context = multiprocessing.get_context("spawn")
-    with ProcessPoolExecutor(1, mp_context=context) as one:
+    with ProcessPoolExecutor(1, mp_context=context, initializer=end_with_parent) as one:
         return one.submit(sampled, measure, x).result()
 
 
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -5,6 +5,7 @@
 import math
 import subprocess
 import sys
+import time
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
@@ -223,6 +224,54 @@
     assert Curve(found.points).fit.value(140_000.0) / 140_000 == pytest.approx(165, rel=0.05)
 
 
+def offspring(of: int) -> set[int]:
+    """All processes below one, as the system has them."""
+    parents = {}
+    for path in Path("/proc").glob("[0-9]*/stat"):
+        try:
+            state, parent = path.read_text().rpartition(")")[2].split()[:2]
+        except OSError:
+            continue
+        if state != "Z":
+            parents[int(path.parent.name)] = int(parent)
+    found, more = set[int](), {of}
+    while more := {one for one, parent in parents.items() if parent in more} - found:
+        found |= more
+    return found
+
+
+def until(holds: Callable[[], bool]) -> None:
+    for _ in range(600):
+        if holds():
+            return
+        time.sleep(0.05)
+    raise AssertionError("not within half a minute")
+
+
+@pytest.mark.parametrize("name", ["page-watches-idle", "config-restart"])
+def test_a_run_that_is_ended_leaves_no_process_behind(tmp_path: Path, name: str) -> None:
+    """It has a process that measures, which has one of its own: a list service or an umpire of `run`."""
+    command = [sys.executable, "-m", "gullmount", "scale", "slopes", "--only", name, "--out", str(tmp_path)]
+    run = subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    marks = ("service_main", "gullmount.platform", "spawn_main")
+
+    def measuring() -> set[int]:
+        return {one for one in offspring(run.pid) if any(mark in words(one) for mark in marks)}
+
+    until(lambda: len(measuring()) >= 2)
+    below = offspring(run.pid)
+    run.terminate()
+    run.wait()
+    until(lambda: not any(Path(f"/proc/{one}").exists() for one in below))
+
+
+def words(process: int) -> str:
+    try:
+        return Path(f"/proc/{process}/cmdline").read_text()
+    except OSError:
+        return ""
+
+
 def test_an_unknown_slope_is_refused(tmp_path: Path) -> None:
     told = CliRunner().invoke(main, ["scale", "slopes", "--only", "nothing", "--out", str(tmp_path)])
     assert told.exit_code == 2
