Runs of fleets as some twenty-five rows for the capacity page, of the version that was played

Need: the page takes a run's rows; 151 of them buried what was asked for. A real umpire's whole memory stands beside a hollow one's share. Version and machine are told as the slopes tell them.

--- a/gullmount/commands/scale_runs.py
+++ b/gullmount/commands/scale_runs.py
@@ -11,8 +11,8 @@
 from rich.console import Console
 
 from gullmount.commands.files import BAD_INPUT, BROKEN, Path_, loaded
+from gullmount.commands.scale_slopes import version
 from gullmount.reports import scale_sizes as sizes
-from gullmount.reports.scale import data as page_data
 from gullmount.reports.scale import plot, summary, tables
 from gullmount.scale.fleet.terms import FleetTerms, Way
 
@@ -75,7 +75,7 @@
     command += f" --way {way}" if way is not None else ""
     console = Console(stderr=True)
     try:
-        made = play(terms, seed, out, lambda text: console.print(text, markup=False), command)
+        made = play(terms, seed, out, lambda text: console.print(text, markup=False), command, version())
         keep(made, data, brief)
         plot(made, out / CHART)
     except OSError as fault:
@@ -123,7 +123,7 @@
 def keep(made: dict[str, Any], data: Path | None, brief: Path | None) -> None:
     """Raises OSError."""
     if data is not None:
-        data.write_text(json.dumps(page_data(made, data.stem), indent=1) + "\n")
+        data.write_text(json.dumps(sizes.data(made, data.stem), indent=1) + "\n")
     if brief is not None:
         brief.write_text(json.dumps(summary(made), indent=1) + "\n")
 
--- a/gullmount/reports/scale.py
+++ b/gullmount/reports/scale.py
@@ -132,7 +132,9 @@
         f"{title}: hollow umpires beside {told['real']} real ones", "", "hollow", "real", "why apart"
     )
     for name, unit in UNITS.items():
-        pair = told[name]
+        pair = told.get(name)
+        if pair is None:
+            continue
         why = APART[name] if pair["apart"] else ""
         made.add_row(name.replace("_", " "), shown(pair["hollow"], unit), shown(pair["real"], unit), why)
     return made
@@ -155,68 +157,6 @@
     return {**made, "kind": "fleet", "runs": runs}
 
 
-def data(made: Results, name: str) -> Results:
-    """The figures as the capacity page takes them: a run of docs/capacity/ with a row a figure."""
-    held = all(check["held"] for one in made["runs"] for check in one["checks"])
-    return {
-        "kind": "run",
-        "name": name,
-        "what": f"fleet {made['fleet']['name']}, seed {made['seed']}, checks {'held' if held else 'broken'}",
-        **{key: made[key] for key in ("command", "version", "machine", "at", "load", "v")},
-        "rows": [row for one in made["runs"] for row in figures(one, made["fleet"]["umpires"])],
-    }
-
-
-def figures(one: Results, umpires: int) -> Iterator[Results]:
-    """What was not reached has no row."""
-    way = "today" if one["way"] == "whole" else one["way"]
-
-    def row(
-        role: str, what: str, value: float | None, unit: str, budget: float | None = None
-    ) -> Iterator[Results]:
-        if value is not None:
-            told = {"role": role, "what": what, "way": way, "umpires": umpires}
-            yield told | {"value": value, "unit": unit, "budget": budget}
-
-    start = one["start"]
-    yield from row(
-        "umpire", "umpires that ever had all they follow", start["synced"], "umpires", start["umpires"]
-    )
-    yield from row("umpire", "cold start of all: last umpire", start["times"]["last"], "s")
-    yield from row("umpire", "cold start: bytes an umpire", start["bytes_an_umpire"], "bytes")
-    for phase in [{"phase": "cold start", "roles": start["roles"]}, *one["phases"]]:
-        name = phase["phase"]
-        for key, said in (("median", "median"), ("p99", "99th"), ("last", "last umpire")):
-            value = phase["all"][key] if "all" in phase else None
-            budget = BUDGET_IN_FORCE if key == "last" else None
-            yield from row("umpire", f"{name}: from a change until in force, {said}", value, "s", budget)
-        for role, told in phase["roles"].items():
-            bytes_ = told.get("bytes_a_second", {"mean": None, "highest": None})
-            most = told.get("bytes_of_one_umpire_in_a_second", bytes_)
-            hollow = role.startswith("hollow")
-            cores, held, moved = (
-                (BUDGET_CORES, BUDGET_RESIDENT, BUDGET_BYTES) if hollow else (None, None, None)
-            )
-            yield from row(role, f"{name}: cores, mean", told["cores"]["mean"], "cores", cores)
-            yield from row(role, f"{name}: memory, highest", told["resident"]["highest"], "bytes", held)
-            yield from row(role, f"{name}: bytes a second, mean", bytes_["mean"], "bytes/s", moved)
-            yield from row(role, f"{name}: bytes in the highest second", most["highest"], "bytes/s", moved)
-        for role, told in phase.get("work", {}).items():
-            yield from row(role, f"{name}: cpu a change", told["cpu_s_a_change"], "s")
-            yield from row(role, f"{name}: bytes a change", told["bytes_a_change"], "bytes")
-    for role, told in one["slopes"].items():
-        yield from row(role, "cpu for a change more, all of them", told["cpu_s_a_change_more"], "s")
-        yield from row(role, "bytes for a change more, all of them", told["bytes_a_change_more"], "bytes")
-        still = told["cpu_s_a_follower_and_second_without"]
-        yield from row(role, "cores a follower without changes, all of them", still, "cores")
-        still = told["bytes_a_follower_and_second_without"]
-        yield from row(role, "bytes a second a follower without changes, all of them", still, "bytes/s")
-    for death in one["deaths"]:
-        until = death["until_heard_at_another"]["last"]
-        yield from row("umpire", "a relay's death: last of its followers heard another", until, "s")
-        yield from row("umpire", "a relay's death: snapshots asked by all", death["snapshots"], "snapshots")
-
-
 def plot(made: Results, path: Path) -> None:
     """By way four strips over one time. Raises OSError."""
     from matplotlib.figure import Figure  # noqa: PLC0415 (takes a second to load, which no other command needs)
--- a/gullmount/reports/scale_sizes.py
+++ b/gullmount/reports/scale_sizes.py
@@ -13,15 +13,16 @@
 
 COLUMNS: tuple[Column, ...] = (
     ("in force, median, mean rate", "s", None),
-    ("99th", "s", None),
-    ("last umpire", "s", BUDGET_IN_FORCE),
+    ("in force, 99th, mean rate", "s", None),
+    ("in force, last umpire, mean rate", "s", BUDGET_IN_FORCE),
     ("in force, median, ten times", "s", None),
-    ("99th, ten times", "s", None),
-    ("last umpire, ten times", "s", BUDGET_IN_FORCE),
+    ("in force, 99th, ten times", "s", None),
+    ("in force, last umpire, ten times", "s", BUDGET_IN_FORCE),
     ("an umpire's bytes a second", "B", BUDGET_BYTES),
-    ("highest second", "B", BUDGET_BYTES),
+    ("an umpire's bytes in the highest second after the start", "B", BUDGET_BYTES),
     ("an umpire's cores", "%", BUDGET_CORES),
-    ("an umpire's memory", "B", BUDGET_RESIDENT),
+    ("an umpire's memory beside interpreter and modules", "B", None),
+    ("a real umpire's memory, all of it", "B", BUDGET_RESIDENT),
     ("a relay's cores, ten times", "%", None),
     ("a relay's bytes a second, ten times", "B", None),
     ("a relay's memory", "B", None),
@@ -32,6 +33,7 @@
     ("cold start, bytes an umpire", "B", None),
     ("relay's death, last follower at another", "s", None),
 )
+UNITS = {"s": "s", "B": "bytes", "%": "cores", "": "umpires"}
 WIDTH, HEIGHT = 11.0, 7.0  # inches
 COLOURS = {"whole": "#c44e52", "relays": "#4c72b0"}
 
@@ -56,6 +58,7 @@
         max((value for value in highest if value is not None), default=None),
         of(umpire, "cores", "mean"),
         of(umpire, "resident", "highest"),
+        of(role(mean, "real"), "resident", "highest"),
         *(of(role(busy, "relay"), name, "mean") for name in ("cores", "bytes_a_second")),
         of(role(busy, "relay"), "resident", "highest"),
         *(of(role(busy, source), name, "mean") for name in ("cores", "bytes_a_second")),
@@ -87,6 +90,50 @@
     return iter(sorted(told, key=lambda each: each[:2]))
 
 
+def data(made: Results, name: str) -> Results:
+    """The figures as the capacity page takes them: a run of docs/capacity/ with a row a figure. What was not
+    reached has no row."""
+    held = all(check["held"] for one in made["runs"] for check in one["checks"])
+    return {
+        "kind": "run",
+        "name": name,
+        "what": f"fleet {made['fleet']['name']}, seed {made['seed']}, checks {'held' if held else 'broken'}",
+        **{key: made[key] for key in ("command", "version", "machine", "at", "load", "v")},
+        "rows": [row for one in made["runs"] for row in rows(one, made["fleet"]["umpires"])],
+    }
+
+
+def rows(one: Results, umpires: int) -> Iterator[Results]:
+    today = one["way"] == "whole"
+    about = {"way": "today" if today else "relays", "umpires": umpires}
+    start = one["start"]
+    told: list[tuple[str, Column, float | None]] = [
+        ("umpire", ("hollow umpires that ever had all they follow", "", None), float(start["synced"]))
+    ]
+    for column, value in zip(COLUMNS, values(one), strict=True):
+        what = column[0]
+        source = "list service" if today else "source"
+        role_ = (
+            "relay" if what.startswith("a relay's") else source if what.startswith("the source") else "umpire"
+        )
+        told.append((role_, column, value))
+    for name, told_of in one["slopes"].items():
+        role_ = "list service" if name == "lists" else name
+        without = told_of["bytes_a_follower_and_second_without"]
+        told += [
+            (
+                role_,
+                ("processor time for a change more, all of them", "s", None),
+                told_of["cpu_s_a_change_more"],
+            ),
+            (role_, ("bytes for a change more, all of them", "B", None), told_of["bytes_a_change_more"]),
+            (role_, ("bytes a second a follower without changes", "B", None), without),
+        ]
+    for role_, (what, unit, budget), value in told:
+        if value is not None:
+            yield {"role": role_, "what": what, "value": value, "unit": UNITS[unit], "budget": budget} | about
+
+
 def markdown(summaries: list[Results]) -> str:
     """A row a figure, a column a run; what is over its budget is bold."""
     held = list(runs(summaries))
@@ -114,7 +161,7 @@
     """Six figures over the fleet's size, a line a way. Raises OSError."""
     from matplotlib.figure import Figure  # noqa: PLC0415 (takes a second to load, which no other command needs)
 
-    wanted = (2, 5, 7, 10, 13, 16)
+    wanted = (2, 5, 7, 11, 14, 17)
     figure = Figure(figsize=(WIDTH, HEIGHT))
     axes = figure.subplots(2, 3).flatten()
     held = [(way, umpires, values(one)) for way, umpires, one in runs(summaries)]
--- a/gullmount/scale/fleet/run.py
+++ b/gullmount/scale/fleet/run.py
@@ -5,7 +5,6 @@
 
 import json
 import os
-import platform
 import shutil
 import signal
 import time
@@ -15,6 +14,7 @@
 from typing import Any
 
 import anyio
+import msgspec
 
 from gullmount import __version__
 from gullmount.days.run import claimed_block
@@ -23,6 +23,7 @@
 from gullmount.scale.fleet.drawn import Drawn, digest_schedule
 from gullmount.scale.fleet.seen import results
 from gullmount.scale.fleet.terms import FleetTerms, Way
+from gullmount.scale.slopes.catalogue import this_machine
 
 
 def deployment(way: Way) -> type[Deployment]:
@@ -31,30 +32,23 @@
     return made
 
 
-def machine() -> dict[str, Any]:
-    """What it is played on, without names."""
-    models = [
-        line for line in Path("/proc/cpuinfo").read_text().splitlines() if line.startswith("model name")
-    ]
-    return {
-        "processor": models[0].partition(":")[2].strip() if models else platform.machine(),
-        "cores": os.cpu_count() or 0,
-        "memory_gib": round(os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE") / 2**30, 1),
-        "system": f"{platform.system()} {platform.release()}",
-        "python": platform.python_version(),
-    }
-
-
-def run(terms: FleetTerms, seed: int, out: Path, progress: Progress, command: str = "") -> dict[str, Any]:
+def run(
+    terms: FleetTerms,
+    seed: int,
+    out: Path,
+    progress: Progress,
+    command: str = "",
+    version: str = __version__,
+) -> dict[str, Any]:
     """Play each of the file's ways in turn. What came of it, which `out/results.json` holds too. Raises
     OSError where `out` can't be written."""
     out = out.resolve()
     made: dict[str, Any] = {
         "v": 1,
-        "version": __version__,
+        "version": version,
         "command": command,
         "seed": seed,
-        "machine": machine(),
+        "machine": msgspec.to_builtins(this_machine()),
         "at": datetime.now(UTC).strftime("%Y-%m-%dT%H:%M:%SZ"),
         "load": round(os.getloadavg()[0], 2),
         "fleet": terms.model_dump(mode="json"),
