--- a/gullmount/reports/scale_sizes.py
+++ b/gullmount/reports/scale_sizes.py
@@ -45,7 +45,11 @@
     mean, busy = phases[0] if phases else None, phases[1] if len(phases) > 1 else None
     source = "source" if one["way"] == "relays" else "lists"
     umpire = umpires_of(mean)
-    highest = [umpires_of(phase)["bytes_of_one_umpire_in_a_second"]["highest"] for phase in phases]
+    highest = [
+        of(role(phase, name), "bytes_of_one_umpire_in_a_second", "highest")
+        for phase in phases
+        for name in ("hollow umpire", "hollow follower")
+    ]
     deaths = [death["until_heard_at_another"]["last"] for death in one["deaths"]]
     start = one["start"]
     return [
