Highest second of a hollow umpire told apart by whether its process kept time

Cause: a process kept from running reads what came over several seconds at once, so that 12.9 kB stood for a second whose stream is paced at 6 kB; both figures are told now.

--- a/gullmount/reports/scale_sizes.py
+++ b/gullmount/reports/scale_sizes.py
@@ -20,6 +20,7 @@
     ("in force, last umpire, ten times", "s", BUDGET_IN_FORCE),
     ("an umpire's bytes a second", "B", BUDGET_BYTES),
     ("an umpire's bytes in the highest second after the start", "B", BUDGET_BYTES),
+    ("the same where its process kept time", "B", BUDGET_BYTES),
     ("an umpire's cores", "%", BUDGET_CORES),
     ("an umpire's memory beside interpreter and modules", "B", None),
     ("a real umpire's memory, all of it", "B", BUDGET_RESIDENT),
@@ -45,11 +46,9 @@
     mean, busy = phases[0] if phases else None, phases[1] if len(phases) > 1 else None
     source = "source" if one["way"] == "relays" else "lists"
     umpire = umpires_of(mean)
-    highest = [
-        of(role(phase, name), "bytes_of_one_umpire_in_a_second", "highest")
-        for phase in phases
-        for name in ("hollow umpire", "hollow follower")
-    ]
+    hollow = [role(phase, name) for phase in phases for name in ("hollow umpire", "hollow follower")]
+    highest = [of(one_, "bytes_of_one_umpire_in_a_second", "highest") for one_ in hollow]
+    kept = [of(one_, "the_same_where_its_process_kept_time", "highest") for one_ in hollow]
     deaths = [death["until_heard_at_another"]["last"] for death in one["deaths"]]
     start = one["start"]
     return [
@@ -59,7 +58,7 @@
             for name in ("median", "p99", "last")
         ),
         of(umpire, "bytes_a_second", "mean"),
-        max((value for value in highest if value is not None), default=None),
+        *(max((one_ for one_ in seen if one_ is not None), default=None) for seen in (highest, kept)),
         of(umpire, "cores", "mean"),
         of(umpire, "resident", "highest"),
         of(role(mean, "real"), "resident", "highest"),
@@ -165,7 +164,7 @@
     """Six figures over the fleet's size, a line a way. Raises OSError."""
     from matplotlib.figure import Figure  # noqa: PLC0415 (takes a second to load, which no other command needs)
 
-    wanted = (2, 5, 7, 11, 14, 17)
+    wanted = (2, 5, 8, 12, 15, 18)
     figure = Figure(figsize=(WIDTH, HEIGHT))
     axes = figure.subplots(2, 3).flatten()
     held = [(way, umpires, values(one)) for way, umpires, one in runs(summaries)]
--- a/gullmount/scale/fleet/hollow.py
+++ b/gullmount/scale/fleet/hollow.py
@@ -73,7 +73,7 @@
 
     def tell(self) -> None:
         at = time.monotonic()
-        since = max(EACH, at - self.told_at)  # s: a busy process tells late
+        late = max(0.0, at - self.told_at - EACH)  # s, of a process that is busy or kept from running
         self.told_at = at
         now = [one.net.bytes_in + one.net.bytes_out for one in self.umpires]
         steps = [new - old for new, old in zip(now, self.before, strict=True)]
@@ -86,7 +86,8 @@
             t=at,
             bytes_in=sum(one.net.bytes_in for one in self.umpires),
             bytes_out=sum(one.net.bytes_out for one in self.umpires),
-            most=steps[most] / since,
+            most=steps[most] / (EACH + late),
+            late=late,
             most_at=self.umpires[most].heard.name,
             synced=sum(one.heard.synced_at > 0 for one in self.umpires),
             behind=None
--- a/gullmount/scale/fleet/seen.py
+++ b/gullmount/scale/fleet/seen.py
@@ -25,6 +25,7 @@
 AFTER_DEATH = 10.0  # s after a relay's death that its cost is summed over
 APART = 0.2  # of the real umpire's figure from which hollow and real count as apart
 HOLLOW, REAL, RELAY, SOURCE, LISTS = "hollow", "real", "relay", "source", "lists"
+LATE = 0.1  # s that a process tells late from which what came before is counted in a second of its own
 EPOCH_STEP = 1 << 44  # more than the revisions of one epoch
 
 
@@ -233,7 +234,7 @@
 def hollow_used(record: Record, since: float, until: float, light: bool = False) -> dict[str, Any]:
     """Of one hollow umpire: its process's figures, less what that held before it began, divided. `light`:
     of those that are followers alone."""
-    cores, resident, moved_, most = [], [], [], []
+    cores, resident, moved_, most, kept = [], [], [], [], []
     mine = {
         name: one for name, one in record.samples.get(HOLLOW, {}).items() if (name in record.light) == light
     }
@@ -246,15 +247,19 @@
         for at, grown in steps(record.lines[HOLLOW][name], "bytes_in", "bytes_out"):
             if since <= at <= until:
                 moved_.append((grown / size, at - record.went, name))
-        for line in record.lines[HOLLOW][name]:
+        for before, line in pairwise(record.lines[HOLLOW][name]):
             if since <= line["t"] <= until:
-                most.append((float(line["most"]), line["t"] - record.went, line["most_at"]))
+                told_most = (float(line["most"]), line["t"] - record.went, line["most_at"])
+                most.append(told_most)
+                if max(before["late"], line["late"]) <= LATE:
+                    kept.append(told_most)
     return {
         "umpires": sum(record.sizes[name] for name in mine),
         "cores": summed(cores),
         "resident": summed(resident),
         "bytes_a_second": summed(moved_),
         "bytes_of_one_umpire_in_a_second": summed(most),
+        "the_same_where_its_process_kept_time": summed(kept),
     }
 
 
