--- a/gullmount/reports/scale.py
+++ b/gullmount/reports/scale.py
@@ -17,12 +17,16 @@
 APART = {
     "cores": "a real one wakes its own loop for each timer, which hollow ones do together",
     "resident": "a real one brings interpreter and modules: see the next line",
-    "resident_with_base": "more or fewer modules are loaded",
+    "resident_with_base": "a hollow process loads what draws the fleet too",
     "bytes_a_second": "each fronts services of its own: see how many configurations changed for them",
     "configurations_changed": "drawn: the few real ones front other services than the average",
     "in_force_median": "hollow ones take turns in one process: the last waits for all the others",
     "in_force_p99": "hollow ones take turns in one process: the last waits for all the others",
 }
+APART_WHOLE = {
+    "resident_with_base": "a hollow process loads what draws the fleet, and holds its umpires' settings at once",
+    "bytes_a_second": "hollow ones ask later: several changes come in one answer",
+}
 UNITS = {
     "cores": "%",
     "resident": "B",
@@ -58,7 +62,9 @@
         yield from times(one, title)
         yield from burdens(one, title)
         if one["hollow_and_real"]:
-            yield beside(one["hollow_and_real"], title)
+            yield beside(
+                one["hollow_and_real"], title, APART | (APART_WHOLE if one["way"] == "whole" else {})
+            )
         yield verdicts(one, title)
 
 
@@ -127,7 +133,7 @@
     yield made
 
 
-def beside(told: Results, title: str) -> Table:
+def beside(told: Results, title: str, whys: dict[str, str]) -> Table:
     made = table(
         f"{title}: hollow umpires beside {told['real']} real ones", "", "hollow", "real", "why apart"
     )
@@ -135,7 +141,7 @@
         pair = told.get(name)
         if pair is None:
             continue
-        why = APART[name] if pair["apart"] else ""
+        why = whys[name] if pair["apart"] else ""
         made.add_row(name.replace("_", " "), shown(pair["hollow"], unit), shown(pair["real"], unit), why)
     return made
 
