--- a/gullmount/reports/scale.py
+++ b/gullmount/reports/scale.py
@@ -24,7 +24,7 @@
     "in_force_p99": "hollow ones take turns in one process: the last waits for all the others",
 }
 APART_WHOLE = {
-    "resident_with_base": "a hollow process loads what draws the fleet, and holds its umpires' settings at once",
+    "resident_with_base": "a hollow process loads what draws the fleet, and holds its umpires' settings",
     "bytes_a_second": "hollow ones ask later: several changes come in one answer",
 }
 UNITS = {
