--- a/gullmount/scale/fleet/sockets.py
+++ b/gullmount/scale/fleet/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import shutil
 import subprocess
 import time
 from collections import defaultdict
@@ -26,9 +27,9 @@
         self.lines: dict[str, list[dict[str, Any]]] = defaultdict(list)  # by local host, each second
 
     async def look_on(self) -> None:
-        """Each second, until cancelled. Raises OSError where the machine has no `ss`."""
+        """Each second, until cancelled; where the machine has no `ss` nothing is counted."""
         due = time.monotonic()
-        while True:
+        while shutil.which("ss") is not None:
             told = await anyio.run_process(
                 ["ss", "-tinHO", self.wanted], stderr=subprocess.DEVNULL, check=False
             )
--- a/gullmount/scale/fleet/way_relays.py
+++ b/gullmount/scale/fleet/way_relays.py
@@ -21,6 +21,7 @@
 
 class RelaysDeployment(Deployment):
     way = "relays"
+    sockets: Sockets | None = None
 
     def relay_address(self, number: int) -> str:
         return f"{self.host(RELAY_HOSTS, number)}:{RELAY_PORT}"
@@ -117,6 +118,8 @@
     async def look_back(self) -> None:
         """Bytes of a relay: what its hollow followers counted, and its connections to the source."""
         await super().look_back()
+        if self.sockets is None or not self.sockets.lines:
+            return  # the machine does not count them
         hollow = [member.lines for member in self.members.of("hollow") if member.lines]
         lines: dict[str, list[dict[str, Any]]] = {}
         for number in range(self.terms.relays):
