--- a/gullmount/reports/scale_sizes.py
+++ b/gullmount/reports/scale_sizes.py
@@ -36,6 +36,7 @@
 )
 UNITS = {"s": "s", "B": "bytes", "%": "cores", "": "umpires"}
 WIDTH, HEIGHT = 11.0, 7.0  # inches
+STEPS = (1, 2, 5)  # of a decade, that an axis names: figures may lie within one
 COLOURS = {"whole": "#c44e52", "relays": "#4c72b0"}
 
 
@@ -163,6 +164,7 @@
 def plot(summaries: list[Results], path: Path) -> None:
     """Six figures over the fleet's size, a line a way. Raises OSError."""
     from matplotlib.figure import Figure  # noqa: PLC0415 (takes a second to load, which no other command needs)
+    from matplotlib.ticker import FuncFormatter, LogLocator  # noqa: PLC0415
 
     wanted = (2, 5, 7, 12, 15, 18)
     figure = Figure(figsize=(WIDTH, HEIGHT))
@@ -176,12 +178,15 @@
                 axis.plot(*zip(*points, strict=True), marker="o", color=colour, label=way)
         if budget is not None:
             axis.axhline(budget, color="black", linestyle=":", linewidth=0.8)
-        axis.set_title(f"{what}, {'s' if unit == 's' else 'cores' if unit == '%' else 'bytes'}", fontsize=8)
+        axis.set_title(f"{what}, {'s' if unit == 's' else 'cores' if unit == '%' else 'bytes'}", fontsize=7)
         axis.set_xscale("log")
         axis.set_yscale("log")
         ticks = sorted({umpires for _, umpires, _ in held})
         axis.set_xticks(ticks, [f"{umpires:,}" for umpires in ticks], fontsize=7)
         axis.minorticks_off()
+        axis.yaxis.set_major_locator(LogLocator(subs=STEPS))
+        axis.yaxis.set_major_formatter(FuncFormatter(lambda value, _: f"{value:g}"))
+        axis.tick_params(axis="y", labelsize=7)
         axis.set_xlabel("umpires", fontsize=7)
         axis.grid(alpha=0.3)
         if axis.get_legend_handles_labels()[0]:
