Capacity page: relay, source and follower stand among the roles; umpires are counted whole

Roles that a run at the target's size measured had no line in the table of roles, and 7,296 of 7,296 umpires were told as 7,300.

--- a/gullmount/scale/page.py
+++ b/gullmount/scale/page.py
@@ -10,7 +10,7 @@
 from math import floor, log10
 from statistics import median
 
-from gullmount.scale.data import DECADES_LEAST, POINTS_LEAST, Figures, Point, Target
+from gullmount.scale.data import DECADES_LEAST, POINTS_LEAST, Figures, Point, RunRow, Target
 from gullmount.scale.fit import Curve, Read
 from gullmount.scale.rows import DAY, SHARE_LEAST, SHARE_MOST, Answer, Answers, Row, Share, Size, Term, enough
 from gullmount.scale.today import FEW, FRONTED, ROWS
@@ -24,6 +24,8 @@
 EXACT = 0.005  # share below which residuals are not told one by one
 NOT_MEASURED = "not measured"
 ASPECTS = (("state", "memory"), ("messages",), ("processor time",), ("time",))  # columns of a role
+COUNTED = "umpires"  # a unit that is told whole: rounded, all would seem to be there
+BY_RELAYS = "relays"  # the way of runs that these are taken from
 ROLES_LAST = ("relay", "source", "follower")  # whose rows come from runs
 
 UNITS: Mapping[str, tuple[tuple[float, str], ...]] = {
@@ -63,6 +65,8 @@
 
 
 def amount(value: float, unit: str) -> str:
+    if unit == COUNTED:
+        return f"{value:,.0f} {unit}"
     factor, name = scaled(value, unit)
     return joined(number(value / factor), name)
 
@@ -166,11 +170,35 @@
             ]
             cells.append("; ".join(told) or "-")
         lines.append(cells)
-    measured = {row.role for run in figures.runs.values() for row in run.rows}
-    lines += [[role, *[NOT_MEASURED] * (1 + len(ASPECTS))] for role in ROLES_LAST if role not in measured]
+    for role in ROLES_LAST:
+        lines += as_run(role, figures) or [[role, *[NOT_MEASURED] * (1 + len(ASPECTS))]]
     return table(("role", "carried by", "state and memory", "messages", "processor time", "time"), lines)
 
 
+def as_run(role: str, figures: Figures) -> list[list[str]]:
+    """What a run at the target's size showed of a role; a follower is what an umpire has of the relays."""
+    told: list[list[str]] = [[] for _ in ASPECTS]
+    held_by = "umpire" if role == "follower" else role
+    size = figures.target.umpires
+    for run in figures.runs.values():
+        for row in run.rows:
+            if (row.role, row.way, row.umpires) == (held_by, BY_RELAYS, size):
+                spent = "" if row.budget is None else f" of {amount(row.budget, row.unit)}"
+                told[aspect_of(row)].append(f"{row.what}: {amount(row.value, row.unit)}{spent}")
+    if not any(told):
+        return []
+    return [[role, f"{BY_RELAYS}, as run at {size:,} umpires", *("; ".join(cell) or "-" for cell in told)]]
+
+
+def aspect_of(row: RunRow) -> int:
+    """The place in ASPECTS of what a run showed, by its unit and its words."""
+    if row.unit == "cores" or "processor time" in row.what:
+        return 2
+    if row.unit == "s":
+        return 3
+    return 0 if "memory" in row.what or row.unit == "umpires" else 1
+
+
 def of_fronted(answers: Answers) -> list[str]:
     """What an umpire needs by the services it fronts, were it told of those alone."""
     target = answers.target
--- a/tests/test_scale_page.py
+++ b/tests/test_scale_page.py
@@ -219,15 +219,43 @@
     assert any(line.startswith("| relay | not measured") for line in told["roles"])
 
 
+def test_umpires_are_counted_not_rounded() -> None:
+    rows = [RunRow("umpire", "that heard all", "relays", 7300, 7296.0, "umpires")]
+    run = Run("fleet", "a fleet", "x", "1.0", MACHINE, "2026-12-02T05:00:00+00:00", 1.0, rows)
+    assert any("| 7,296 umpires |" in line for line in tables(figures(fleet=run))["runs"])
+
+
+def test_roles_of_a_run_at_the_targets_size_stand_among_the_roles() -> None:
+    rows = [
+        RunRow("relay", "a relay's memory", "relays", TARGET.umpires, 9.6e7, "bytes"),
+        RunRow("relay", "bytes a second", "relays", TARGET.umpires, 5e4, "bytes"),
+        RunRow("relay", "processor time for a change", "relays", TARGET.umpires, 0.02, "s"),
+        RunRow("umpire", "in force, last umpire", "relays", TARGET.umpires, 1.5, "s", 10.0),
+        RunRow("source", "the source's memory", "relays", 230, 6e7, "bytes"),
+        RunRow("source", "the list service's memory", "today", TARGET.umpires, 5e7, "bytes"),
+    ]
+    run = Run("fleet", "a fleet", "x", "1.0", MACHINE, "2026-12-02T05:00:00+00:00", 1.0, rows)
+    told = tables(Figures(TARGET, figures().slopes, {run.name: run}))["roles"]
+    (relay,) = [line for line in told if line.startswith("| relay |")]
+    assert relay.endswith(
+        "| a relay's memory: 96.0 MB | bytes a second: 50.0 KB | processor time for a change: 20.0 ms | - |"
+    )
+    (follower,) = [line for line in told if line.startswith("| follower |")]
+    assert follower.endswith("| - | - | - | in force, last umpire: 1.50 s of 10.0 s |")
+    assert any(line.startswith("| source | not measured") for line in told)
+
+
 def test_rows_of_a_run_stand_there_and_its_role_counts_as_measured() -> None:
-    rows = [RunRow("relay", "memory at 235 followers", "relays", 7300, 2.5e8, "bytes", 4e9)]
+    rows = [RunRow("relay", "memory at 235 followers", "relays", TARGET.umpires, 2.5e8, "bytes", 4e9)]
     run = Run(
         "fleet", "a fleet", "gullmount scale run x", "1.0", MACHINE, "2026-12-02T05:00:00+00:00", 1.0, rows
     )
     told = tables(figures(fleet=run))
-    line = "| relay | memory at 235 followers | relays | 7,300 | 250 MB | 4.00 GB | `gullmount scale run x` |"
+    line = "| relay | memory at 235 followers | relays | 1,000 | 250 MB | 4.00 GB | `gullmount scale run x` |"
     assert any(told_line.startswith(line) for told_line in told["runs"])
-    assert not any(line.startswith("| relay") for line in told["roles"])
+    (relay,) = [line for line in told["roles"] if line.startswith("| relay")]
+    assert "memory at 235 followers: 250 MB of 4.00 GB" in relay
+    assert "not measured" not in relay
 
 
 def test_all_the_services_that_an_umpire_may_front_are_varied() -> None:
