--- a/gullmount/scale/page.py
+++ b/gullmount/scale/page.py
@@ -177,26 +177,29 @@
 
 def as_run(role: str, figures: Figures) -> list[list[str]]:
     """What a run at the target's size showed of a role; a follower is what an umpire has of the relays."""
-    told: list[list[str]] = [[] for _ in ASPECTS]
     held_by = "umpire" if role == "follower" else role
     size = figures.target.umpires
-    for run in figures.runs.values():
-        for row in run.rows:
-            if (row.role, row.way, row.umpires) == (held_by, BY_RELAYS, size):
-                spent = "" if row.budget is None else f" of {amount(row.budget, row.unit)}"
-                told[aspect_of(row)].append(f"{row.what}: {amount(row.value, row.unit)}{spent}")
-    if not any(told):
+    asked = held_by, BY_RELAYS, size
+    every = [row for run in figures.runs.values() for row in run.rows]
+    rows = [row for row in every if (row.role, row.way, row.umpires) == asked]
+    if not rows:
         return []
-    return [[role, f"{BY_RELAYS}, as run at {size:,} umpires", *("; ".join(cell) or "-" for cell in told)]]
+    cells = ["; ".join(shown(row) for row in rows if aspect_of(row) in held) or "-" for held in ASPECTS]
+    return [[role, f"{BY_RELAYS}, as run at {size:,} umpires", *cells]]
 
 
-def aspect_of(row: RunRow) -> int:
-    """The place in ASPECTS of what a run showed, by its unit and its words."""
+def shown(row: RunRow) -> str:
+    spent = "" if row.budget is None else f" of {amount(row.budget, row.unit)}"
+    return f"{row.what}: {amount(row.value, row.unit)}{spent}"
+
+
+def aspect_of(row: RunRow) -> str:
+    """One of ASPECTS, by the unit of what a run showed and its words."""
     if row.unit == "cores" or "processor time" in row.what:
-        return 2
+        return "processor time"
     if row.unit == "s":
-        return 3
-    return 0 if "memory" in row.what or row.unit == "umpires" else 1
+        return "time"
+    return "memory" if "memory" in row.what or row.unit == COUNTED else "messages"
 
 
 def of_fronted(answers: Answers) -> list[str]:
