--- a/gullmount/interface.py
+++ b/gullmount/interface.py
@@ -24,6 +24,15 @@
     MOOT = "moot"
 
 
+class Rejection(Enum):
+    """Why a request was given up: no attempt is made any more."""
+
+    NO_TIME = "too little time left"
+    NO_RETRY = "retry budget spent"
+    NO_ATTEMPT_LEFT = "attempts used up"
+    NO_SERVER = "no server may take it"
+
+
 class Verdict(Enum):
     NONE = "none"
     ON = "on"
--- a/gullmount/platform/discovery.py
+++ b/gullmount/platform/discovery.py
@@ -74,6 +74,7 @@
         super().__init__(address)
         self.revision = 0
         self.first = anyio.Event()  # what was asked first was answered, or failed
+        self.calls = 0  # made so far; the number names a call in the log
         self.calls_more = 0  # that a silence still allows
         self.ahead = host.now() - wall()  # of the wall clock: taken once, so that a start stays the same
         self.processes: dict[str, tuple[str, int, float]] = {}  # which process stands at a box's id
@@ -122,7 +123,8 @@
                 while True:
                     await self.watch_at(self.address)
             except (Spoilt, Fault, TimeoutError, *BROKEN) as fault:
-                self.host.write_log("watch ended", why=f"{type(fault).__name__} {fault}")
+                why = f"{type(fault).__name__} {fault}"
+                self.host.write_log("watch ended", call=self.calls, revision=self.revision, why=why)
                 self.calls_more = CALLS_MORE if isinstance(fault, Silent) else self.calls_more - 1
             if self.calls_more <= 0:
                 return
@@ -154,6 +156,9 @@
         Guards against what stands behind a good answer: it would be taken for the next one. Raises Spoilt,
         Fault or what a broken stream does.
         """
+        self.calls += 1
+        began = self.host.now()
+        self.host.write_log("discovery call", call=self.calls, after=self.revision, wait=WAIT)
         target = f"/v1/servers?after={self.revision}&wait_ms={round(WAIT * 1000)}"
         await stream.send(f"GET {target} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode())
         reader = AnswerReader(HEAD_MOST, "GET")
@@ -174,10 +179,14 @@
                     raise Spoilt("list too long")
                 body.append(part)
             elif isinstance(part, End):
+                took = round(self.host.now() - began, 3)
+                self.host.write_log("discovery answer", call=self.calls, took=took, size=size)
                 return b"".join(body), reader.keep and reader.fault is None and not reader.parts
 
     def hear(self, page: Page, kind: ListKind) -> None:
         lines = [self.listed(entry) for entry in page.members]
+        told = {"held": self.revision, "revision": page.revision, "entries": len(lines)}
+        self.host.write_log("list", kind=kind.value, call=self.calls, **told)
         for entry, line in zip(page.members, lines, strict=True):
             process = entry.host_port, line.build, line.started
             if self.processes.get(line.box, process) != process or line.state is not BoxState.READY:
--- a/gullmount/platform/serving.py
+++ b/gullmount/platform/serving.py
@@ -28,7 +28,7 @@
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 READS = 16  # of a configuration that cannot be read, so long as it may be half written
 READ_AGAIN = 0.1  # s between them: what discovery has counts as told 4 s after SIGHUP
-LATENESS_EVERY = 5.0  # s between notes of how late the loop came
+REPORT_EVERY = 5.0  # s between reports of the counters and of how late the loop came
 LATE = 0.05  # s from which that is noted: a sixth of a usual objective, which then reads as slowness of boxes
 
 
@@ -79,15 +79,26 @@
             await self.discovery.first.wait()
         tasks.start_soon(self.doors.listen, told.listen)
         await self.doors.listening.wait()
-        tasks.start_soon(self.note_lateness)
+        tasks.start_soon(self.report)
         self.log("listening", address=told.listen)
 
-    async def note_lateness(self) -> None:
+    async def report(self) -> None:
+        """Log the counters and what is open, and how late the loop came."""
         while True:
-            await anyio.sleep(LATENESS_EVERY)
+            await anyio.sleep(REPORT_EVERY)
             latest = self.host.timers.take_latest()
             if latest > LATE:
                 self.log("loop late", most=round(latest, 3))
+            self.log(
+                "counters",
+                **self.host.counters.take_report(),
+                open_requests=len(self.host.exchanges),
+                client_connections=len(self.doors.fronts),
+                server_connections=self.host.upstream.open,
+                servers=len(self.host.umpire.boxes),
+                servers_ready=sum(map(len, self.host.umpire.pools.values())),
+                list_revision=self.discovery.revision,
+            )
 
     def move(self, start: Start) -> None:
         """The configuration was replaced: only addresses move, the settings stay those of the start."""
--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -25,6 +25,7 @@
     ListKind,
     Outcome,
     Phase,
+    Rejection,
     Repeats,
     Verdict,
 )
@@ -198,6 +199,7 @@
         self.taken = 0  # reqs since the last look, less those that ended unserved: these mostly come again
         self.loads: deque[int] = deque(maxlen=round(SIGHT / JUDGE_EVERY))
         self.proof = Proof(grounds)
+        self.rejection = Rejection.NO_SERVER  # why the request that is being given up is
         self.inquest = inquest_of(grounds)
         if grounds.may_subscribe:
             host.subscribe()
@@ -390,11 +392,21 @@
         self.taken -= req.settled
         if box is not None:
             self.send(req, box, now)
-        elif self.may_shed(req):
+            return
+        self.rejection = self.why_given_up(req, hopeful)
+        if self.may_shed(req):
             self.host.shed(req.id, min(COME_BACK, self.grounds.max_retry_after))
         else:
             self.host.error(req.id)
 
+    def why_given_up(self, req: Req, hopeful: bool) -> Rejection:
+        """For logs and counters alone."""
+        if not hopeful:
+            return Rejection.NO_TIME
+        if len(req.tries) >= self.grounds.max_tries:
+            return Rejection.NO_ATTEMPT_LEFT
+        return Rejection.NO_RETRY if req.tries and self.retries < 1 else Rejection.NO_SERVER
+
     def send(self, req: Req, box: Box, now: float) -> None:
         if req.tries:
             self.retries -= 1
--- a/gullmount/scale/slopes/news.py
+++ b/gullmount/scale/slopes/news.py
@@ -66,7 +66,11 @@
         quiet = NullHost()
         umpire = Umpire(quiet, grounds(38, umpires))
         host = SimpleNamespace(
-            now=quiet.now, umpire=umpire, random=Random(7), upstream=SimpleNamespace(forget=lambda box: None)
+            now=quiet.now,
+            umpire=umpire,
+            random=Random(7),
+            upstream=SimpleNamespace(forget=lambda box: None),
+            write_log=lambda event, **fields: None,
         )
         entrance = SimpleNamespace(addresses=dict[str, str]())
         unused = cast(Any, None)
--- /dev/null
+++ b/gullmount/umpire/counters.py
@@ -0,0 +1,56 @@
+"""What one proxy instance counts between two reports: requests by how they ended, attempts by how they ended.
+
+No I/O. The names are those of the enumerations, so memory is bounded by the code.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+
+from gullmount.interface import Rejection
+from gullmount.umpire.outcomes import Ending
+
+
+class RequestEnd(Enum):
+    """How a request ended at its client."""
+
+    SERVED = "served"
+    REJECTED = "rejected"
+    FAILED = "failed"
+    CLIENT_LEFT = "client_left"
+
+
+@dataclass(slots=True)
+class AttemptRecord:
+    """One attempt of a request, for the log line of a request that was not served; times in seconds."""
+
+    server: str
+    sent: float
+    ending: Ending | None = None
+    took: float = 0.0
+
+    def told(self) -> tuple[str, str, float]:
+        """For the log: server, how it ended, seconds."""
+        return self.server, self.ending.name.lower() if self.ending else "open", round(self.took, 3)
+
+
+@dataclass(slots=True)
+class Counters:
+    """Counts since the last `take_report`."""
+
+    requests: Counter[RequestEnd] = field(default_factory=Counter)
+    rejections: Counter[Rejection] = field(default_factory=Counter)
+    attempts: Counter[Ending] = field(default_factory=Counter)
+
+    def take_report(self) -> dict[str, dict[str, int]]:
+        """What was counted, by field and name, and begin anew."""
+        report = {
+            "requests": {end.value: count for end, count in self.requests.items()},
+            "rejections": {reason.value: count for reason, count in self.rejections.items()},
+            "attempts": {ending.name.lower(): count for ending, count in self.attempts.items()},
+        }
+        for counter in (self.requests, self.rejections, self.attempts):
+            counter.clear()
+        return report
--- a/gullmount/umpire/exchange.py
+++ b/gullmount/umpire/exchange.py
@@ -11,6 +11,7 @@
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
 from gullmount.state import Req
+from gullmount.umpire.counters import AttemptRecord
 from gullmount.umpire.messages import Answer, Head
 
 PASSED_AHEAD = (
@@ -40,6 +41,7 @@
         self.give_up = give_up
         self.req: Req | None = None
         self.tries = 0
+        self.attempts: list[AttemptRecord] = []
         self.open = 0
         self.scopes: dict[int, Cancellable] = {}  # of the open tries
         self.failure: Answer | None = (
--- a/gullmount/umpire/host.py
+++ b/gullmount/umpire/host.py
@@ -15,6 +15,7 @@
 from gullmount.net import Net
 from gullmount.policy import Umpire
 from gullmount.state import Req
+from gullmount.umpire.counters import AttemptRecord, Counters, RequestEnd
 from gullmount.umpire.direct_upstream import DirectUpstream
 from gullmount.umpire.entrance import Admission, Entrance
 from gullmount.umpire.exchange import Exchange
@@ -50,6 +51,7 @@
         self.exchanges: dict[str, Exchange] = {}
         self.emptied = anyio.Event()
         self.count = 0
+        self.counters = Counters()
         self.on_vote: Votes | None = None
         self.on_tell: Tells | None = None
         self.on_subscribe: Callable[[], None] | None = None
@@ -68,12 +70,29 @@
         raise NotImplementedError
 
     def shed(self, req: str, retry_after: float) -> None:
-        self.exchanges[req].settle(self.entrance.shed(retry_after))
+        exchange = self.exchanges[req]
+        self.note_unserved(exchange, RequestEnd.REJECTED)
+        exchange.settle(self.entrance.shed(retry_after))
 
     def error(self, req: str) -> None:
         exchange = self.exchanges[req]
+        self.note_unserved(exchange, RequestEnd.FAILED)
         exchange.settle(exchange.failure or self.entrance.errored(BAD_GATEWAY))
 
+    def note_unserved(self, exchange: Exchange, end: RequestEnd) -> None:
+        """Count a request that is given up, and log why, with its attempts."""
+        reason = self.umpire.rejection
+        self.counters.requests[end] += 1
+        self.counters.rejections[reason] += 1
+        self.write_log(
+            "request not served",
+            request=exchange.mark or exchange.id,
+            end=end.value,
+            why=reason.value,
+            left=round(exchange.give_up - self.now(), 3),
+            attempts=[attempt.told() for attempt in exchange.attempts],
+        )
+
     def call_after(self, delay: float, callback: Callable[[], None]) -> None:
         raise NotImplementedError
 
@@ -122,7 +141,10 @@
         """A try came to its end, `latency` seconds after it was sent."""
         outcome = self.entrance.outcome(ending, answer)
         exchange.open -= 1
+        exchange.attempts[number].ending, exchange.attempts[number].took = ending, latency
+        self.counters.attempts[ending] += 1
         if outcome is Outcome.COMPLETED and answer is not None:
+            self.counters.requests[RequestEnd.SERVED] += not exchange.settled
             exchange.settle(answer)
         elif outcome is Outcome.ERROR and answer is not None and ending is Ending.ANSWERED:
             exchange.failure = self.entrance.box_errored(answer)
@@ -135,6 +157,7 @@
             self.drop(exchange)
 
     def drop(self, exchange: Exchange) -> None:
+        self.counters.requests[RequestEnd.CLIENT_LEFT] += exchange.left
         if self.exchanges.pop(exchange.id, None) is not None:
             self.entrance.ended(exchange)
         if not self.exchanges:
@@ -164,6 +187,7 @@
         number = exchange.tries
         exchange.tries += 1
         exchange.open += 1
+        exchange.attempts.append(AttemptRecord(box, self.now()))
         self.tasks.start_soon(self.carry, exchange, number, box, patience)
 
     def call_after(self, delay: float, callback: Callable[[], None]) -> None:
@@ -204,6 +228,7 @@
         number = exchange.tries
         exchange.tries += 1
         exchange.open += 1
+        exchange.attempts.append(AttemptRecord(box, self.now()))
         self.upstream.begin(exchange, number, box, patience)
 
     def call_after(self, delay: float, callback: Callable[[], None]) -> None:
