--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -72,6 +72,12 @@
     return head.encode() + more + b"\r\n" + body
 
 
+def page_of(revision: int, members: list[dict[str, Any]], complete: bool = False) -> bytes:
+    """An answer of discovery."""
+    body = json.dumps({"revision": revision, "complete": complete, "members": members}).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
 async def read_message(reader: asyncio.StreamReader) -> tuple[bytes, bytes]:
     """A message with a told length, or none: head and body. Raises IncompleteReadError at the end."""
     head = await reader.readuntil(b"\r\n\r\n")
