A list that may be out of date is not routed by, and calls no longer crowd discovery

Change: gullmount/freshness.py, without I/O, holds until when the list may be routed by (6 s from the last answer, longer only while no connection to discovery comes up) and plans the calls: watches of 1.5 to 3 s, starts spread over 3.5 s, a pause of 6 s that doubles after a refusal. While the list is stale every request gets 503 at once. Clients are let in after the first list, or 5.6 s. Answers that flow are waited for (15 s), lists up to 8 MiB taken; a wall clock that was stepped before the start is set right by what the list shows. Scenes of other things are told that their list is never stale. Discovery's double now waits as it is asked to.

--- a/gullmount/interface.py
+++ b/gullmount/interface.py
@@ -27,6 +27,7 @@
 class Rejection(Enum):
     """Why a request was given up: no attempt is made any more."""
 
+    LIST_STALE = "server list out of date"
     NO_TIME = "too little time left"
     NO_RETRY = "retry budget spent"
     NO_ATTEMPT_LEFT = "attempts used up"
--- a/gullmount/platform/serving.py
+++ b/gullmount/platform/serving.py
@@ -20,7 +20,7 @@
 from gullmount.umpire.doors import DirectDoors
 from gullmount.umpire.host import LONG_AGO, DirectHost, Log, read_clock
 
-LIST_WITHIN = 0.5  # s for the first list before clients are let in: the one in hand may be old
+LIST_WITHIN = 5.6  # s for the first list before clients are let in: nine in ten starts are ready within 6 s
 COMING = 0.55  # s after SIGTERM in which reqs are still taken: clients come for 0.4 s
 DEADLINE_MOST = 3.0  # s of the longest route timeout at most that SIGKILL waits for after SIGTERM
 KILLED_AFTER = 0.7  # s more after which SIGKILL comes
@@ -43,7 +43,9 @@
         *,
         wall: Callable[[], float] = time.time,
         clock: Callable[[], float] = read_clock,
+        list_within: float = LIST_WITHIN,
     ) -> None:
+        self.list_within = list_within
         self.start = start
         self.clock = clock
         self.net = net
@@ -57,7 +59,8 @@
         self.host = host = DirectHost(
             self.entrance, self.start.grounds, self.net, tasks, self.log, self.clock
         )
-        self.discovery = Discovery(host, self.entrance, self.net, told.discovery, self.wall)
+        instances = self.start.grounds.umpires
+        self.discovery = Discovery(host, self.entrance, self.net, told.discovery, self.wall, instances)
         self.control = ControlService(host, self.net, told.platform.address, terms.vote_within)
         self.doors = DirectDoors(host, self.net, tasks)
         host.on_vote = self.control.vote
@@ -75,7 +78,7 @@
             tasks.start_soon(peers.hear)
         self.discovery.ask()
         tasks.start_soon(self.control.watch)
-        with anyio.move_on_after(LIST_WITHIN):
+        with anyio.move_on_after(self.list_within):
             await self.discovery.first.wait()
         tasks.start_soon(self.doors.listen, told.listen)
         await self.doors.listening.wait()
@@ -98,6 +101,8 @@
                 servers=len(self.host.umpire.boxes),
                 servers_ready=sum(map(len, self.host.umpire.pools.values())),
                 list_revision=self.discovery.revision,
+                list_state=self.discovery.freshness.state(self.clock()).value,
+                list_stale_in=round(self.discovery.freshness.stale_at - self.clock(), 2),
             )
 
     def move(self, start: Start) -> None:
--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -10,7 +10,7 @@
 
 import random
 from collections import defaultdict, deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from math import ceil, e, inf, log, sqrt
 from statistics import NormalDist, fmean, median
 
@@ -114,6 +114,11 @@
 PROVES_UNRUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 
 
+def never_stale(now: float) -> bool:
+    """For a list that is pushed without gaps, as the simulator's is."""
+    return False
+
+
 class Width:
     """How many tries an umpire may have out at the boxes of one build, for each box.
 
@@ -199,6 +204,7 @@
         self.taken = 0  # reqs since the last look, less those that ended unserved: these mostly come again
         self.loads: deque[int] = deque(maxlen=round(SIGHT / JUDGE_EVERY))
         self.proof = Proof(grounds)
+        self.list_is_stale: Callable[[float], bool] = never_stale  # set by whoever keeps the list up
         self.rejection = Rejection.NO_SERVER  # why the request that is being given up is
         self.inquest = inquest_of(grounds)
         if grounds.may_subscribe:
@@ -401,6 +407,8 @@
 
     def why_given_up(self, req: Req, hopeful: bool) -> Rejection:
         """For logs and counters alone."""
+        if self.list_is_stale(self.host.now()):
+            return Rejection.LIST_STALE
         if not hopeful:
             return Rejection.NO_TIME
         if len(req.tries) >= self.grounds.max_tries:
@@ -452,6 +460,8 @@
     def still_allowed(self, req: Req, number: int) -> bool:
         """Whether a try whose connection took its time may go out, by what is told and known now."""
         now, box, build = self.host.now(), req.tries[number].box, req.tries[number].build
+        if self.list_is_stale(now):
+            return False
         stands = box.ready and box.build == build and self.repeat_allowed(req, box, now)
         return stands and self.build_allowed(req, build, now, 0)  # it was counted when it was picked
 
@@ -556,6 +566,8 @@
         Among many umpires each ranks only a few boxes drawn by chance: it knows little of them. Guards
         against all ranking alike, which fills one zone. Harm: a busy umpire sees less than it could.
         """
+        if self.list_is_stale(now):
+            return None  # any server may be told off by now: the rule on drains binds whatever its cause
         wanted, may, sides = self.wanted(req), dict[int, bool](), {rev: self.side(rev) for rev in self.pools}
         roomy = {rev for rev in self.pools if self.has_room(rev)}
         if wanted and not req.tries and any(sides[rev] is wanted for rev in self.pools.keys() - roomy):
--- a/gullmount/scale/fleet/hollow_whole.py
+++ b/gullmount/scale/fleet/hollow_whole.py
@@ -11,8 +11,9 @@
 
 from gullmount.interface import ListKind
 from gullmount.platform.control import ControlService
-from gullmount.platform.discovery import Discovery, Page
+from gullmount.platform.discovery import Discovery
 from gullmount.platform.entrance import PlatformEntrance
+from gullmount.platform.server_list import Page
 from gullmount.platform.serving import monotonic
 from gullmount.profile import decode_grounds, decode_socket_terms
 from gullmount.scale.fleet.counting import CountedNet
@@ -84,7 +85,7 @@
                 box.cell,
                 box.ready,
                 box.build,
-                round((box.started - discovery.ahead) * 1000),
+                round(discovery.processes[box.id][2] or 0),
             )
             for box in self.host.umpire.boxes.values()
         ]
--- a/gullmount/scale/slopes/news.py
+++ b/gullmount/scale/slopes/news.py
@@ -12,7 +12,8 @@
 
 from gullmount.calls import decode
 from gullmount.interface import ListKind
-from gullmount.platform.discovery import Discovery, Page
+from gullmount.platform.discovery import Discovery
+from gullmount.platform.server_list import Page
 from gullmount.policy import Umpire
 from gullmount.scale.slopes.alone import ZONES, NullHost, grounds, told_umpires
 from gullmount.scale.slopes.measure import Measure, held, timed
