A connection beyond the bound gets 503 for its request instead of a reset

Related find: a request written to a connection that the machine accepted is owed its answer, on new connections too; where all client connections were busy the newest was reset unread. Up to 32 beyond the bound are held for one answer each now; more are dropped, and logged.

--- a/gullmount/umpire/direct_front.py
+++ b/gullmount/umpire/direct_front.py
@@ -29,8 +29,14 @@
     """One client connection. All its calls come from the connection, its req's end, or the sweep."""
 
     def __init__(
-        self, host: UmpireHost, conduit: Conduit, on_end: Callable[[DirectFront], None]
+        self,
+        host: UmpireHost,
+        conduit: Conduit,
+        on_end: Callable[[DirectFront], None],
+        rejects: bool = False,
     ) -> None:
+        """`rejects`: there is no room for it; its first request gets 503 and the connection ends."""
+        self.rejects = rejects
         self.on_end = on_end
         self.host = host
         self.bounds = host.entrance.clients
@@ -178,6 +184,8 @@
         head, admission, body = self.head, self.admission, b"".join(self.body)
         assert head is not None
         self.head, self.admission, self.body, self.size = None, None, [], 0
+        if self.rejects:
+            raise Fault(503, "too many connections")
         if admission is None:
             assert self.own is not None
             self.write(self.own, self.own.headers, False)
--- a/gullmount/umpire/doors.py
+++ b/gullmount/umpire/doors.py
@@ -14,6 +14,7 @@
 LOOK_EVERY = 0.01  # s between looks whether the last answers have left, at a stop
 SILENT_FOR = 0.1  # s without a byte after which an idle connection ends at a stop: a req may be on its way
 LOOKED_AT = 8  # connections asked for what lies unheard there, to make room for one: each is a system call
+OVERFLOW = 32  # connections beyond the bound that are held for one answer each: a request may be here already
 SWEEP = 0.2  # s between looks for connections whose time is up
 
 
@@ -101,9 +102,11 @@
         bounds = self.host.entrance.clients
         if len(self.fronts) >= bounds.connections and bounds.makes_room:
             self.make_room()
-        if len(self.fronts) >= bounds.connections or self.host.closed:
+        full = len(self.fronts) >= bounds.connections or self.host.closed
+        if len(self.fronts) >= bounds.connections + OVERFLOW:
+            self.host.write_log("connection dropped", why="too many", open=len(self.fronts))
             return None
-        front = DirectFront(self.host, conduit, self.forget)
+        front = DirectFront(self.host, conduit, self.forget, rejects=full)
         self.fronts[front] = None
         return front
 
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 
 import anyio
@@ -265,3 +266,23 @@
             assert made.host.count == (at >= len(data))
 
     play(scene)
+
+
+def test_a_request_on_a_connection_beyond_the_bound_gets_its_answer(tmp_path: Path) -> None:
+    """It was written to a connection that this machine accepted: a close without an answer would lose it."""
+
+    async def scene() -> None:
+        async with edge(tmp_path) as made:
+            bounds = made.host.entrance.clients
+            made.host.entrance.clients = replace(bounds, connections=2)
+            busy = [client(asked(f"a{number}")) for number in range(2)]
+            servers = [await accept(made.box) for _ in busy]
+            beyond = client(asked("a9"))
+            assert (await message(beyond)).startswith(b"HTTP/1.1 503")
+            assert await rest(beyond) == b"" and not waiting(made.box)
+            for server, asking in zip(servers, busy, strict=True):
+                await message(server)
+                server.sendall(OK)
+                assert (await message(asking)).endswith(b"\r\n\r\nok")
+
+    play(scene)
