The cost of a request no longer grows with the number of servers

pick built lists of all servers anew for each request and, where none drawn would do, ranked all of them. It now draws 64 at most, looks at 256 at most where none will do, and keeps lists by build; the look at shares goes over cold servers alone. Fleets of up to 64 servers draw as before.

--- a/gullmount/policy.py
+++ b/gullmount/policy.py
@@ -84,6 +84,8 @@
 ZONE_SLOW = 2.0  # times the quickest zone's time from which a zone's boxes are left out
 ZONE_FORGET = 10.0  # s in which half of what a zone's old times say is forgotten: a try there is a risk
 CHOICES = 3  # boxes drawn to choose among, at least: two are much better than one, more add little
+CHOICES_MOST = 64  # of them at most: the cost of a request must not grow with the servers
+SCAN_MOST = 256  # boxes looked at, likewise, where none of those drawn will do
 ALL_SEEN = 8.0  # umpires up to which each ranks all boxes: then its own tries tell how busy they are
 LINK_SMOOTH = 0.2  # weight of the newest try without a connection in the share of those that get none
 LINK_FAILS = 0.15  # share from which on only boxes with an open connection are drawn: two new failures
@@ -119,6 +121,15 @@
     return False
 
 
+def nth(pools: list[list[Box]], at: int) -> Box:
+    """The box at a place in the lists laid end to end."""
+    for pool in pools:
+        if at < len(pool):
+            return pool[at]
+        at -= len(pool)
+    raise IndexError(at)
+
+
 class Width:
     """How many tries an umpire may have out at the boxes of one build, for each box.
 
@@ -185,6 +196,7 @@
         self.random = random.Random(grounds.seed).random
         self.boxes: dict[str, Box] = {}
         self.pools: dict[int, list[Box]] = {}  # the ready boxes of each build
+        self.cold: list[Box] = []  # ready boxes that were not warm yet at the last look
         self.born = host.now()
         self.answered: deque[float] = deque()
         self.link_fails = 0.0
@@ -230,10 +242,12 @@
                 self.boxes[line.box].update(line, now)
             else:
                 self.boxes[line.box] = Box(line, self.random(), now)
-        self.pools = {}
+        self.pools, self.cold = {}, []
         for box in self.boxes.values():
             if box.ready:
                 self.pools.setdefault(box.build, []).append(box)
+                if self.warmth(box, now) < 1:
+                    self.cold.append(box)
 
     def news(self, build: int, stage: int, phase: Phase, cap: float) -> None:
         """The state of a build. One that is older than those held, or that has ended, changes nothing."""
@@ -521,24 +535,33 @@
     def ready(self, side: Trial | None) -> list[Box]:
         return [box for rev, pool in self.pools.items() if self.side(rev) is side for box in pool]
 
+    def pools_of(self, side: Trial | None) -> list[list[Box]]:
+        """The ready boxes on one side, a list for each build, none of them empty."""
+        return [pool for rev, pool in self.pools.items() if self.side(rev) is side]
+
     def update_share(self, now: float) -> None:
         """Toward 0.8 of the cap, over the ramp, as far as the boxes carry it; it falls only with the cap.
 
         Two trials grow from the two ends of the hash, each at most into what the other has left.
         """
-        ready = [self.ready(trial) for trial in self.trials]
-        carries = [sum(self.warmth(box, now) for box in boxes) for boxes in ready]
-        cold = sum(map(len, ready)) - sum(carries)
+        ready = [sum(map(len, self.pools_of(trial))) for trial in self.trials]
+        self.cold = [box for box in self.cold if box.ready and self.warmth(box, now) < 1]
+        missing = [
+            sum(1 - self.warmth(box, now) for box in self.cold if self.side(box.build) is trial)
+            for trial in self.trials
+        ]
+        carries = [count - lacks for count, lacks in zip(ready, missing, strict=True)]
+        cold = sum(missing)
         self.warm_part = 1 - cold / max(1, sum(map(len, self.pools.values())))
         under_way = [trial for trial in self.trials if trial.phase is Phase.ON_TRIAL]
-        for trial, boxes, carry in zip(self.trials, ready, carries, strict=True):
+        for trial, carry in zip(self.trials, carries, strict=True):
             others = [one for one in under_way if one is not trial]
             if trial.end is None:
                 trial.end = min({0, 1} - {one.end for one in others}, default=None)
-            listed = any(box.build == trial.build for box in boxes)
+            listed = trial.build in self.pools and self.side(trial.build) is trial
             cap = trial.part * (trial.cap if listed else self.release.caps[0])
             aim = CAP_USE * cap
-            even = carry / max(1, sum(carries) + len(self.ready(None)))
+            even = carry / max(1, sum(carries) + sum(map(len, self.pools_of(None))))
             aim = min(max(even, aim) if cap >= 1 else aim, CROWD * even)
             step = (now - self.share_at) / RAMP * CAP_USE * cap
             room = 1.0 - sum(one.share for one in others) if trial.end is not None else 0.0
@@ -582,24 +605,39 @@
             pace = paces.get(box.zone) or self.zones[box.zone].expected(usual, ZONE_FORGET, now)
             return not usable(box), sides[box.build] is not wanted, self.wait(box, UNKNOWN * pace, now)
 
-        pool = [box for box in self.ready(wanted) or self.ready(None) if box.build in roomy]
-        choices = max(CHOICES, ceil(len(pool) * ALL_SEEN / self.grounds.umpires))
+        pools = self.pools_of(wanted) or self.pools_of(None)
+        pools = [pool for pool in pools if pool[0].build in roomy]
+        total = sum(map(len, pools))
+        choices = min(CHOICES_MOST, max(CHOICES, ceil(total * ALL_SEEN / self.grounds.umpires)))
         usual = self.usual(now)
         paces = {zone: pace.expected(usual, ZONE_FORGET, now) for zone, pace in self.zones.items()}
         slow = {zone for zone, pace in paces.items() if pace > ZONE_SLOW * min(paces.values())}
-        if choices < len(pool):
-            near = [box for box in pool if box.zone not in slow] or pool
-            if self.link_fails > LINK_FAILS:
-                near = [box for box in near if box.linked_until > now] or near
-            drawn = [near[int(self.random() * len(near))] for _ in range(choices)]
+        if choices < total:
+            drawn = self.draw(pools, total, choices, slow, now)
             good = [box for box in drawn if usable(box) and self.allowed(req, box, now, may)]
             if good:
                 return min(good, key=cost)
-        earlier = any(box.out_until <= now for box in self.ready(None))
+        earlier = any(box.out_until <= now for pool in self.pools_of(None) for box in pool)
         if wanted or not earlier:
-            near_by = [rev for rev in sorted(roomy) if not earlier or sides[rev] in (wanted, None)]
-            pool = [box for rev in near_by for box in self.pools[rev]]
-        return min((box for box in pool if self.allowed(req, box, now, may)), key=cost, default=None)
+            pools = [self.pools[rev] for rev in sorted(roomy) if not earlier or sides[rev] in (wanted, None)]
+        rest: Iterable[Box] = (box for pool in pools for box in pool)
+        if (total := sum(map(len, pools))) > SCAN_MOST:
+            rest = [nth(pools, int(self.random() * total)) for _ in range(SCAN_MOST)]
+        return min((box for box in rest if self.allowed(req, box, now, may)), key=cost, default=None)
+
+    def draw(self, pools: list[list[Box]], total: int, count: int, slow: set[str], now: float) -> list[Box]:
+        """So many by chance, not from slow zones, nor without a connection while many of those fail."""
+        linked = self.link_fails > LINK_FAILS
+        if not slow and not linked:
+            return [nth(pools, int(self.random() * total)) for _ in range(count)]
+        if total <= SCAN_MOST:
+            pool = [box for some in pools for box in some]
+        else:
+            pool = [nth(pools, int(self.random() * total)) for _ in range(SCAN_MOST)]
+        near = [box for box in pool if box.zone not in slow] or pool
+        if linked:
+            near = [box for box in near if box.linked_until > now] or near
+        return [near[int(self.random() * len(near))] for _ in range(count)]
 
     def usual(self, now: float) -> float:
         return self.pace.expected(FIRST_TIME, ZONE_FORGET, now)
@@ -696,7 +734,7 @@
             alone = any(self.fails_more(cands[route], bases[route], FAIL_LEAST) for route in worse)
             self.cast(trial, Verdict.BACK, now, why, alone)
         elif trial.phase is Phase.ON_TRIAL and not self.release.timed:
-            newest = [box.age(now) for box in self.boxes.values() if box.build == trial.build and box.ready]
+            newest = [box.age(now) for box in self.pools.get(trial.build, ())]
             settled = bool(newest) and min(newest) >= SETTLE
             failures = sum(seen.failed for cand in cands.values() for seen in cand)
             clean = sum(len(cand) for cand in cands.values()) - failures
