--- a/tests/test_stale_list.py
+++ b/tests/test_stale_list.py
@@ -8,13 +8,24 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 from collections.abc import Callable
 from pathlib import Path
 
 import pytest
 
-from tests.platform_world import OK, Running, Script, World, asked, configuration, page_of, read_message
+from tests.platform_world import (
+    OK,
+    Running,
+    Script,
+    World,
+    asked,
+    configuration,
+    entry,
+    page_of,
+    read_message,
+)
 
 REFUSED = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
 QUEUE_PATIENCE = 2.0  # s after which a crowded discovery refuses a call that waited
@@ -150,3 +161,37 @@
 
     scene.play(tmp_path, discovery, 9.0)
     assert scene.answers[-1] == 200, scene.answers
+
+
+THOUSANDS = 3200
+
+
+@pytest.mark.parametrize("padding", [0, 300])
+def test_a_list_of_thousands_that_drips_for_seconds_is_taken(tmp_path: Path, padding: int) -> None:
+    """Indented, 3,200 servers are some 900 kB, with long names over 1 MiB: an answer that flows is not
+    given up.""" scene = Scene() sizes: list[int] = []
+
+    async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            await read_message(reader)
+            if sizes:
+                await asyncio.sleep(2.0)
+                writer.write(page_of(7, []))
+                continue
+            others = [
+                entry(f"s-{at}-" + "x" * padding, f"127.9.{at // 250}.{at % 250 + 1}:8081", phase="draining")
+                for at in range(THOUSANDS)
+            ]
+            page = {"revision": 7, "complete": True, "members": [*others, *scene.world.members]}
+            body = json.dumps(page, indent=2).encode()
+            sizes.append(len(body))
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+            piece = len(body) // 45 + 1
+            for start in range(0, len(body), piece):
+                writer.write(body[start : start + piece])
+                await writer.drain()
+                await asyncio.sleep(0.1)
+
+    logged = scene.play(tmp_path, discovery, 6.0)
+    assert sizes[0] > (1 << 20 if padding else 700_000)
+    assert b'"revision":7' in logged and scene.answers[-1] == 200, scene.answers
