--- a/tests/test_stale_list.py
+++ b/tests/test_stale_list.py
@@ -168,8 +168,9 @@
 
 @pytest.mark.parametrize("padding", [0, 300])
 def test_a_list_of_thousands_that_drips_for_seconds_is_taken(tmp_path: Path, padding: int) -> None:
-    """Indented, 3,200 servers are some 900 kB, with long names over 1 MiB: an answer that flows is not
-    given up.""" scene = Scene() sizes: list[int] = []
+    """Indented, 3,200 servers are some 900 kB, with long names over 1 MiB: what flows is not given up."""
+    scene = Scene()
+    sizes: list[int] = []
 
     async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
