--- a/gullmount/freshness.py
+++ b/gullmount/freshness.py
@@ -44,6 +44,7 @@
 SPREAD = 0.8  # s over which instances whose watches ended together spread their next calls
 PAUSE_FIRST = 6.0  # s between a refused call and the next on average; doubles with each that fails
 PAUSE_MOST = 24.0  # s of that at most
+PAUSE_ALONE = 1.5  # s of it for the only instance of a fleet: nobody comes back with it
 DOUBLINGS = 10  # of a pause at most, so that the power stays a small number
 PAUSE_CHANCE = 0.5, 1.5  # times that, by chance
 BROKEN_FIRST = 0.5  # s likewise after a call whose connection broke off before it waited
@@ -129,7 +130,8 @@
             self.plan = self.first_call(now + self.spread(SPREAD))
         else:
             self.failures += 1
-            first = BROKEN_FIRST if failure is CallFailure.BROKEN else PAUSE_FIRST
+            refused = PAUSE_ALONE + (PAUSE_FIRST - PAUSE_ALONE) * self.alone
+            first = BROKEN_FIRST if failure is CallFailure.BROKEN else refused
             self.plan = self.first_call(now + self.pause(first, PAUSE_MOST))
 
     def moved(self, now: float) -> None:
--- a/gullmount/platform/discovery.py
+++ b/gullmount/platform/discovery.py
@@ -26,7 +26,7 @@
 
 CONNECT_WITHIN = 0.8  # s for a connection to come up
 HEAD_MOST = 8192  # bytes of an answer's head
-ANSWER_MOST = 8 << 20  # bytes of a list: indented, some twenty thousand servers with long names
+ANSWER_MOST = 2 << 20  # bytes of a list: indented, some 3,200 servers with names of 300 characters
 OK = 200
 
 Process = tuple[str, int, float | None]  # address, build and start of what stands at a server's id
