--- a/gullmount/platform/serving.py
+++ b/gullmount/platform/serving.py
@@ -46,6 +46,8 @@
         list_within: float = LIST_WITHIN,
     ) -> None:
         self.list_within = list_within
+        self.opened = False  # whether clients may come
+        self.stopping = False
         self.start = start
         self.clock = clock
         self.net = net
@@ -54,6 +56,11 @@
 
     async def serve(self, tasks: TaskGroup) -> None:
         """Set up and return once clients are let in; `tasks` hold what goes on."""
+        self.build(tasks)
+        await self.open(tasks)
+
+    def build(self, tasks: TaskGroup) -> None:
+        """Make all parts; from then on it may be moved and stopped."""
         told, terms = self.start.told, self.start.terms
         self.entrance = PlatformEntrance(self.start.grounds, terms, told.limits.sockets, self.clock)
         self.host = host = DirectHost(
@@ -72,14 +79,21 @@
                 self.control.believe(told.platform.news)
         except Spoilt as fault:
             self.log("start not understood", why=str(fault))
+
+    async def open(self, tasks: TaskGroup) -> None:
+        """Begin to ask and to hear; return once clients are let in, or none where it was stopped before."""
+        told = self.start.told
         if told.peer_listen is not None and self.start.grounds.may_tell:
-            peers = Peers(host, await self.net.datagrams(told.peer_listen), told.peers)
-            host.on_tell = peers.tell
+            peers = Peers(self.host, await self.net.datagrams(told.peer_listen), told.peers)
+            self.host.on_tell = peers.tell
             tasks.start_soon(peers.hear)
         self.discovery.ask()
         tasks.start_soon(self.control.watch)
         with anyio.move_on_after(self.list_within):
             await self.discovery.first.wait()
+        if self.stopping:
+            return
+        self.opened = True
         tasks.start_soon(self.doors.listen, told.listen)
         await self.doors.listening.wait()
         tasks.start_soon(self.report)
@@ -111,6 +125,11 @@
         self.control.move(start.told.platform.address)
 
     async def stop(self) -> None:
+        """Answer what was taken, as SIGTERM asks; at once where no client was let in yet."""
+        self.stopping = True
+        if not self.opened:
+            self.log("stopped", before="clients were let in")
+            return
         longest = min(DEADLINE_MOST, max(self.start.terms.timeouts.values()))
         await self.doors.stop(COMING, max(0.0, longest + KILLED_AFTER - LEAVING - COMING))
 
@@ -160,7 +179,8 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
         async with anyio.create_task_group() as tasks:
             umpire = PlatformUmpire(start, net, log, clock=monotonic)
-            await umpire.serve(tasks)
+            umpire.build(tasks)
+            tasks.start_soon(umpire.open, tasks)
             reading = Reading(umpire, os.environ, tasks)
             async for number in signals:
                 if number != signal.SIGHUP:
--- a/tests/test_stale_list.py
+++ b/tests/test_stale_list.py
@@ -9,6 +9,8 @@
 
 import asyncio
 import json
+import os
+import signal
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -17,6 +19,7 @@
 
 from tests.platform_world import (
     OK,
+    RUN,
     Running,
     Script,
     World,
@@ -196,3 +199,38 @@
     logged = scene.play(tmp_path, discovery, 6.0)
     assert sizes[0] > (1 << 20 if padding else 700_000)
     assert b'"revision":7' in logged and scene.answers[-1] == 200, scene.answers
+
+
+@pytest.mark.parametrize("asked_for", [signal.SIGTERM, signal.SIGHUP])
+def test_a_signal_while_the_first_list_is_waited_for(tmp_path: Path, asked_for: signal.Signals) -> None:
+    """SIGTERM: it ends at once, as nobody was let in. Else it could let clients in after that, and be killed
+    under their requests. SIGHUP: it is heard, and changes nothing here."""
+
+    async def whole() -> None:
+        world = World()
+        called = asyncio.Event()
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_message(reader)
+            called.set()
+            await asyncio.sleep(60)
+
+        await world.serve(8101, discovery)
+        running = Running(tmp_path, configuration())
+        environment = {**os.environ, "PROXY_CONFIG": str(running.path), "PROXY_NAME": "n0"}
+        process = await asyncio.create_subprocess_exec(
+            "/bin/sh", "-c", RUN, env=environment, stderr=asyncio.subprocess.PIPE
+        )
+        await asyncio.wait_for(called.wait(), 30)
+        process.send_signal(asked_for)
+        if asked_for is signal.SIGHUP:
+            await asyncio.sleep(0.5)
+            assert process.returncode is None
+            process.terminate()
+        _, logged = await asyncio.wait_for(process.communicate(), 2.0)
+        assert process.returncode == 0 and b"Traceback" not in logged, logged.decode()
+        assert b'"listening"' not in logged
+        assert (b"configuration read again" in logged) is (asked_for is signal.SIGHUP)
+        await world.close()
+
+    asyncio.run(whole())
