First calls end before clients come, and a call that fell silent is made again soon

Change: starts spread over 3.2 s, a first wait of 2.3 s, clients let in after 6.2 s; a silent call costs discovery nothing and is made again after 0.5 s, doubling; moves are spread over 1.5 s.

--- a/gullmount/freshness.py
+++ b/gullmount/freshness.py
@@ -32,7 +32,7 @@
 # s after which a change counts as told, whatever became of the call that would have brought it
 NEWS_DUE = 6.0
 MOVED_DUE = 4.0  # s after a move to another address in which what discovery has counts as told
-FIRST_WAIT = 2.5  # s that the first call of a watch asks to wait
+FIRST_WAIT = 2.3  # s that the first call of a watch asks to wait: longer than its queue lets it
 # s that a later one does, by chance: of instances that fall silent together few call at once
 WATCH_WAIT = 1.5, 3.0
 ANSWER_SLACK = 0.4  # s beyond the wait after which a call that brought no byte is given up as silent
@@ -40,14 +40,15 @@
 LEAST_BETWEEN = 0.1  # s between calls that are answered at once; one within 0.2 s continues a watch
 STALL = 1.0  # s without a byte after which an answer that has begun is given up
 ANSWER_LONGEST = 15.0  # s for a whole answer from its first byte: a list of thousands may drip
-START_SPREAD = 3.5  # s over which instances that start together spread their first calls
+START_SPREAD = 3.2  # s over which instances that start together spread their first calls
 SPREAD = 0.8  # s over which instances whose watches ended together spread their next calls
+MOVE_SPREAD = 1.5  # s over which instances that moved together do: each asks for the whole list
 PAUSE_FIRST = 6.0  # s between a refused call and the next on average; doubles with each that fails
 PAUSE_MOST = 24.0  # s of that at most
 PAUSE_ALONE = 1.5  # s of it for the only instance of a fleet: nobody comes back with it
 DOUBLINGS = 10  # of a pause at most, so that the power stays a small number
 PAUSE_CHANCE = 0.5, 1.5  # times that, by chance
-BROKEN_FIRST = 0.5  # s likewise after a call whose connection broke off before it waited
+BROKEN_FIRST = 0.5  # s likewise after a call that broke off or fell silent: it took no time of discovery's
 UNREACHABLE_FIRST = 0.5  # s likewise where no connection came up: that costs discovery nothing
 UNREACHABLE_MOST = 3.0  # s of that at most: each attempt proves anew that nothing can be told
 
@@ -131,7 +132,7 @@
         else:
             self.failures += 1
             refused = PAUSE_ALONE + (PAUSE_FIRST - PAUSE_ALONE) * self.alone
-            first = BROKEN_FIRST if failure is CallFailure.BROKEN else refused
+            first = refused if failure is CallFailure.REFUSED else BROKEN_FIRST
             self.plan = self.first_call(now + self.pause(first, PAUSE_MOST))
 
     def moved(self, now: float) -> None:
@@ -139,7 +140,7 @@
         self.stale_at = min(self.stale_at, now + MOVED_DUE)
         self.failures = 0
         self.suspect = True
-        self.plan = self.first_call(now + self.spread(SPREAD))
+        self.plan = self.first_call(now + self.spread(MOVE_SPREAD))
 
     # Plans
 
--- a/gullmount/platform/serving.py
+++ b/gullmount/platform/serving.py
@@ -20,7 +20,7 @@
 from gullmount.umpire.doors import DirectDoors
 from gullmount.umpire.host import LONG_AGO, DirectHost, Log, read_clock
 
-LIST_WITHIN = 5.6  # s for the first list before clients are let in: nine in ten starts are ready within 6 s
+LIST_WITHIN = 6.2  # s for the first list before clients are let in: a call that nothing is new for takes 5.5
 COMING = 0.55  # s after SIGTERM in which reqs are still taken: clients come for 0.4 s
 DEADLINE_MOST = 3.0  # s of the longest route timeout at most that SIGKILL waits for after SIGTERM
 KILLED_AFTER = 0.7  # s more after which SIGKILL comes
--- a/tests/test_platform_virtual.py
+++ b/tests/test_platform_virtual.py
@@ -19,7 +19,7 @@
     async def act(scene: Scene) -> None:
         for number in range(3):
             assert (await scene.ask(asked(f"a{number}"))).endswith(b"\r\n\r\nok")
-            await anyio.sleep(LINK_REST)
+            await anyio.sleep(LINK_REST + 0.001)
         assert scene.connections == 1 and scene.umpire.host.upstream.open == 1
         await anyio.sleep(17)
         assert scene.umpire.host.upstream.open == 0 and not scene.umpire.host.upstream.pools
