Room for a newcomer is looked for among all idle connections, not the first eight

The only place found that spared system calls (searched: gullmount/ and docs for stalls and system calls, the log of commits): make_room asked at most eight idle connections for unheard bytes. A newcomer now fails to find room only if no connection is idle. Cost: one poll a connection looked at, one in the usual case. Measured: test_client_connections, 33 passed; no difference in time was measured.

--- a/gullmount/umpire/doors.py
+++ b/gullmount/umpire/doors.py
@@ -13,7 +13,6 @@
 
 LOOK_EVERY = 0.01  # s between looks whether the last answers have left, at a stop
 SILENT_FOR = 0.1  # s without a byte after which an idle connection ends at a stop: a req may be on its way
-LOOKED_AT = 8  # connections asked for what lies unheard there, to make room for one: each is a system call
 OVERFLOW = 32  # connections beyond the bound that are held for one answer each: a request may be here already
 SWEEP = 0.2  # s between looks for connections whose time is up
 
@@ -120,7 +119,7 @@
             self.fronts.pop(done, None)
             return
         idle = [front for front in direct if front.idle and not front.busy]
-        for front in sorted(idle, key=lambda front: (front.taken > 0, front.idle_since))[:LOOKED_AT]:
+        for front in sorted(idle, key=lambda front: (front.taken > 0, front.idle_since)):
             front.close()
             if front.over:
                 self.fronts.pop(front, None)  # at once: its end is told later, and the newcomer is here
