A connect that fails for want of descriptors or ports proves nothing of discovery

Only what the other side or the network says does so now (refused, no route, timed out); EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, EINTR and the like do not.

--- a/gullmount/platform/discovery.py
+++ b/gullmount/platform/discovery.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Callable
 from math import inf
 from typing import Any
@@ -28,10 +29,20 @@
 HEAD_MOST = 8192  # bytes of an answer's head
 ANSWER_MOST = 2 << 20  # bytes of a list: indented, some 3,200 servers with names of 300 characters
 OK = 200
+OF_THIS_MACHINE = (
+    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EADDRINUSE,
+    errno.EAGAIN, errno.EINTR, errno.EPERM, errno.EACCES,
+)  # fmt: skip
 
 Process = tuple[str, int, float | None]  # address, build and start of what stands at a server's id
 
 
+def error_number(fault: BaseException) -> int | None:
+    """Of a failed connect, which anyio wraps in one without a number."""
+    cause = fault.__cause__ if fault.__cause__ is not None else fault
+    return getattr(cause, "errno", None)
+
+
 class CallFailed(Exception):
     """A call brought no usable answer."""
 
@@ -193,12 +204,18 @@
             await self.drop_connection()
 
     async def connect(self) -> Stream:
-        """Raises CallFailed: whatever keeps a connection from coming up, discovery has told nothing."""
+        """Raises CallFailed. That discovery cannot be reached is said only where the other side or the
+        network says so, not where this machine lacks descriptors, ports or memory: it could have told
+        something then."""
         try:
             with anyio.fail_after(CONNECT_WITHIN):
                 return await self.net.connect(self.address)
-        except (TimeoutError, *BROKEN) as fault:
-            raise CallFailed(CallFailure.UNREACHABLE, f"{type(fault).__name__} {fault}") from None
+        except TimeoutError as fault:
+            raise CallFailed(CallFailure.UNREACHABLE, f"not connected in time {fault}".strip()) from None
+        except BROKEN as fault:
+            local = error_number(fault) in OF_THIS_MACHINE
+            failure = CallFailure.BROKEN if local else CallFailure.UNREACHABLE
+            raise CallFailed(failure, f"{type(fault).__name__} {fault.__cause__ or fault}") from None
 
     async def drop_connection(self) -> None:
         stream, self.stream = self.stream, None
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import re
 import socket
@@ -350,6 +351,42 @@
     play_virtual(tmp_path, silent, act, {DISCOVERY: discovery})
 
 
+@pytest.mark.parametrize("wrapped", [False, True])
+@pytest.mark.parametrize(
+    ("number", "served"),
+    [
+        (errno.ECONNREFUSED, True), (errno.ENETUNREACH, True), (errno.EHOSTUNREACH, True),
+        (errno.ETIMEDOUT, True),
+        (errno.EMFILE, False), (errno.ENFILE, False), (errno.ENOBUFS, False), (errno.EADDRNOTAVAIL, False),
+        (errno.EINTR, False),
+    ],
+)  # fmt: skip
+def test_connects_to_discovery_that_fail_for_long(
+    tmp_path: Path, number: int, served: bool, wrapped: bool
+) -> None:
+    """Where the network says that discovery is not to be had nothing can be told, and the list holds. Where
+    this machine lacks something a change counts as told all the same, and requests are turned away."""
+
+    async def act(scene: Scene) -> None:
+        real = scene.net.connect
+
+        async def connect(address: str) -> Stream:
+            if not address.endswith(str(DISCOVERY)):
+                return await real(address)
+            fault = OSError(number, "by the test")
+            if wrapped:
+                raise OSError("All connection attempts failed") from fault
+            raise fault
+
+        scene.net.connect = connect  # type: ignore[method-assign]
+        await scene.umpire.discovery.drop_connection()
+        await anyio.sleep(60)
+        answer = await scene.ask(asked("a1"))
+        assert answer.endswith(b"\r\n\r\nok") if served else answer.startswith(b"HTTP/1.1 503"), answer
+
+    play_virtual(tmp_path, told, act)
+
+
 # Control service
 
 
