--- a/review/1/case.py
+++ b/review/1/case.py
@@ -28,6 +28,8 @@
 REQUESTS_PER_SECOND = 320
 # Every second client keeps its connection once it has its answer.
 CLIENTS_PER_KEEPER = 2
+# So that the clients' own process needs no more than usual.
+MAX_KEPT_CONNECTIONS = 500
 # A try is given up after 40% of the route timeout of 7.5 s.
 ROUTE, TIMEOUT_MS = "score-view", 3000
 # What the page allows after a request's time, and the slack on sockets.
@@ -89,8 +91,9 @@
             while number < due:
                 number += 1
                 if self.open_requests < MAX_OPEN_REQUESTS:
-                    keeps_connection = TROUBLE and number % CLIENTS_PER_KEEPER == 0
-                    task = asyncio.create_task(self.ask(keeps_connection))
+                    keeps = TROUBLE and number % CLIENTS_PER_KEEPER == 0
+                    keeps = keeps and len(self.kept) < MAX_KEPT_CONNECTIONS
+                    task = asyncio.create_task(self.ask(keeps))
                     tasks.add(task)
                     task.add_done_callback(tasks.discard)
                     await asyncio.sleep(0)
