--- a/gullmount/net/__init__.py
+++ b/gullmount/net/__init__.py
@@ -3,6 +3,7 @@
 Nothing in this package depends on HTTP.
 """
 
+from gullmount.net.descriptors import RESOURCE_SHORTAGE_ERRNOS, count_open_descriptors
 from gullmount.net.handler_errors import HandlerErrors, ends_process
 from gullmount.net.memory import MemoryNet
 from gullmount.net.tcp import TcpNet
@@ -11,6 +12,7 @@
     AddressError,
     DatagramSocket,
     Net,
+    ShortageCallback,
     Stream,
     StreamNet,
     Transport,
@@ -23,18 +25,21 @@
 )
 
 __all__ = [
+    "RESOURCE_SHORTAGE_ERRNOS",
     "STREAM_ERRORS",
     "AddressError",
     "DatagramSocket",
     "HandlerErrors",
     "MemoryNet",
     "Net",
+    "ShortageCallback",
     "Stream",
     "StreamNet",
     "TcpNet",
     "Transport",
     "TransportProtocol",
     "abort",
+    "count_open_descriptors",
     "ends_process",
     "parse_address",
     "source_host",
--- a/gullmount/net/acceptor.py
+++ b/gullmount/net/acceptor.py
@@ -8,18 +8,18 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import select
 import socket
 from collections.abc import Callable
 
 import anyio
 
+from gullmount.net.descriptors import RESOURCE_SHORTAGE_ERRNOS
 from gullmount.net.handler_errors import HandlerErrors
+from gullmount.net.types import ShortageCallback
 
 # Delay before accepting again after a resource shortage.
 ACCEPT_RETRY_SECONDS = 0.02
-RESOURCE_SHORTAGE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 # Connections accepted in one turn of the event loop; further ones wait for the next turn.
 MAX_ACCEPTS_PER_TURN = 256
 # Event loop turns that `Acceptor.stop` may take to empty the backlog.
@@ -38,10 +38,12 @@
         listener: socket.socket,
         make_protocol: Callable[[], asyncio.Protocol],
         handler_errors: HandlerErrors,
+        on_shortage: ShortageCallback | None = None,
     ) -> None:
         self.listener = listener
         self._make_protocol = make_protocol
         self._handler_errors = handler_errors
+        self._on_shortage = on_shortage
         self._loop = asyncio.get_running_loop()
         self._open_tasks: set[asyncio.Task[None]] = set()
         self._retry_timer: asyncio.TimerHandle | None = None
@@ -85,14 +87,19 @@
             except (ConnectionAbortedError, InterruptedError):
                 continue
             except OSError as error:
-                if error.errno not in RESOURCE_SHORTAGE_ERRNOS:
-                    self._handler_errors.record("accept", error)
+                self._accept_failed(error)
                 return False
             task = self._loop.create_task(self._open(connection))
             self._open_tasks.add(task)
             task.add_done_callback(self._open_tasks.discard)
         return True
 
+    def _accept_failed(self, error: OSError) -> None:
+        if self._on_shortage is not None and error.errno in RESOURCE_SHORTAGE_ERRNOS:
+            self._on_shortage(error)
+        else:
+            self._handler_errors.record("accept", error)
+
     async def _open(self, connection: socket.socket) -> None:
         with self._handler_errors.contained("accept"):
             try:
--- a/gullmount/net/memory.py
+++ b/gullmount/net/memory.py
@@ -13,7 +13,7 @@
 from anyio.abc import ByteStream, TaskGroup
 
 from gullmount.errors import GullmountError
-from gullmount.net.types import STREAM_ERRORS, Transport, TransportProtocol
+from gullmount.net.types import STREAM_ERRORS, ShortageCallback, Transport, TransportProtocol
 
 # Bytes buffered in one direction before a sender has to wait. It is the size of a common socket buffer.
 MAX_BUFFERED_BYTES = 65536
@@ -343,8 +343,9 @@
         address: str,
         make_protocol: Callable[[Transport], TransportProtocol | None],
         started: anyio.Event | None = None,
+        _on_shortage: ShortageCallback | None = None,
     ) -> None:
-        """Accept transports until cancelled. Raises OSError.
+        """Accept transports until cancelled. Raises OSError. Descriptors are never short here.
 
         A connection for which `make_protocol` returns None is aborted.
         """
--- a/gullmount/net/tcp.py
+++ b/gullmount/net/tcp.py
@@ -13,7 +13,14 @@
 from gullmount.net.acceptor import Acceptor, is_readable, listening_socket
 from gullmount.net.arrival import has_ended, seconds_since_data
 from gullmount.net.handler_errors import HandlerErrors
-from gullmount.net.types import DatagramSocket, Stream, Transport, TransportProtocol, parse_address
+from gullmount.net.types import (
+    DatagramSocket,
+    ShortageCallback,
+    Stream,
+    Transport,
+    TransportProtocol,
+    parse_address,
+)
 
 # Connections that may wait to be accepted. A burst of new clients must not be refused.
 LISTEN_BACKLOG = 1024
@@ -211,6 +218,7 @@
         address: str,
         make_protocol: Callable[[Transport], TransportProtocol | None],
         started: anyio.Event | None = None,
+        on_shortage: ShortageCallback | None = None,
     ) -> None:
         """Accept transports until cancelled. Raises OSError.
 
@@ -222,7 +230,7 @@
             return TcpTransport(None, make_protocol, handler_errors=self.handler_errors)
 
         listener = listening_socket(host, port, LISTEN_BACKLOG)
-        acceptor = Acceptor(listener, make_transport, self.handler_errors)
+        acceptor = Acceptor(listener, make_transport, self.handler_errors, on_shortage)
         acceptor.start()
         if started is not None:
             started.set()
--- a/gullmount/net/types.py
+++ b/gullmount/net/types.py
@@ -14,6 +14,8 @@
 from gullmount.net.arrival import has_ended, seconds_since_data
 
 Stream = ByteStream
+# Called with the error when a connection can't be accepted because descriptors or memory are short.
+ShortageCallback = Callable[[OSError], None]
 
 MAX_PORT_DIGITS = 5
 # For a larger port a socket raises an error other than OSError.
@@ -134,8 +136,13 @@
         address: str,
         make_protocol: Callable[[Transport], TransportProtocol | None],
         started: anyio.Event | None = None,
+        on_shortage: ShortageCallback | None = None,
     ) -> None:
-        """Accept transports until cancelled; abort those for which `make_protocol` returns None."""
+        """Accept transports until cancelled; abort those for which `make_protocol` returns None.
+
+        While descriptors or memory are short, connections wait in the backlog and `on_shortage` is called at
+        each try, so that the caller can close what it no longer needs.
+        """
 
 
 def parse_address(address: str) -> tuple[str, int]:
--- a/gullmount/platform/reporting.py
+++ b/gullmount/platform/reporting.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from gullmount.net import count_open_descriptors
 from gullmount.platform.discovery_watch import DiscoveryWatch
 from gullmount.platform.log_events import LogEvent
 from gullmount.proxy.listener import BufferedListener
@@ -52,6 +53,7 @@
             LogEvent.COUNTERS,
             **runtime.counters.take_report(),
             open_requests=len(runtime.exchanges),
+            open_descriptors=count_open_descriptors(),
             client_connections=len(self.listener.connections),
             server_connections=runtime.upstream.open_connections,
             servers=len(runtime.router.endpoints.servers),
--- a/gullmount/proxy/counters.py
+++ b/gullmount/proxy/counters.py
@@ -43,19 +43,29 @@
 
 @dataclass(slots=True)
 class Counters:
-    """Counts since the last call of `take_report`."""
+    """Counts since the last call of `take_report`.
+
+    Attributes:
+        requests: Requests by end.
+        rejections: Rejected requests by reason.
+        attempts: Attempts by end.
+        accept_failures: Tries to accept a connection that failed because descriptors or memory are short.
+    """
 
     requests: Counter[RequestEnd] = field(default_factory=Counter)
     rejections: Counter[RejectionReason] = field(default_factory=Counter)
     attempts: Counter[AttemptEnd] = field(default_factory=Counter)
+    accept_failures: int = 0
 
-    def take_report(self) -> dict[str, dict[str, int]]:
-        """Return the counts by field and enumeration value, and reset them to zero."""
-        report = {
+    def take_report(self) -> dict[str, dict[str, int] | int]:
+        """Return the counts by field, most of them by enumeration value, and reset them to zero."""
+        report: dict[str, dict[str, int] | int] = {
             "requests": {end.value: count for end, count in self.requests.items()},
             "rejections": {reason.value: count for reason, count in self.rejections.items()},
             "attempts": {end.name.lower(): count for end, count in self.attempts.items()},
+            "accept_failures": self.accept_failures,
         }
         for counter in (self.requests, self.rejections, self.attempts):
             counter.clear()
+        self.accept_failures = 0
         return report
--- a/gullmount/proxy/listener.py
+++ b/gullmount/proxy/listener.py
@@ -5,12 +5,13 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import Generic, TypeVar
 
 import anyio
 from anyio.abc import TaskGroup
 
-from gullmount.net import Net, Stream, Transport
+from gullmount.net import Net, Stream, Transport, count_open_descriptors
 from gullmount.proxy.buffered_downstream import BufferedDownstream
 from gullmount.proxy.downstream import DownstreamConnection
 from gullmount.proxy.log_events import LogEvent
@@ -25,6 +26,7 @@
 # already have arrived.
 MAX_OVERFLOW_CONNECTIONS = 32
 SWEEP_INTERVAL_SECONDS = 0.2
+ACCEPT_FAILURE_LOG_INTERVAL_SECONDS = 1.0
 
 ConnectionT = TypeVar("ConnectionT", bound=DownstreamConnection)
 
@@ -37,6 +39,7 @@
         accept_scope: cancelled to stop accepting connections.
         listening: set once connections are accepted.
         closed: set once the listening socket is closed.
+        accept_failure_logged_at: when a failed accept was last logged.
     """
 
     def __init__(self, runtime: ProxyRuntime, net: Net, task_group: TaskGroup) -> None:
@@ -47,6 +50,7 @@
         self.accept_scope = anyio.CancelScope()
         self.listening = anyio.Event()
         self.closed = anyio.Event()
+        self.accept_failure_logged_at = -inf
 
     async def listen(self, address: str) -> None:
         """Accept connections until `accept_scope` is cancelled. Raises OSError for an unusable address."""
@@ -70,6 +74,19 @@
         """Stop tracking a connection that has ended, or whose end is certain but not reported yet."""
         self.connections.pop(connection, None)
 
+    def accept_failed(self, error: OSError) -> None:
+        """Count and log that a connection waits in the backlog because descriptors or memory are short."""
+        self.runtime.counters.accept_failures += 1
+        now = self.runtime.now()
+        if now >= self.accept_failure_logged_at + ACCEPT_FAILURE_LOG_INTERVAL_SECONDS:
+            self.accept_failure_logged_at = now
+            self.runtime.log_event(
+                LogEvent.ACCEPT_FAILED,
+                reason=error.strerror,
+                open_connections=len(self.connections),
+                open_descriptors=count_open_descriptors(),
+            )
+
     async def stop(self, accept_seconds: float = 0.0, read_seconds: float = 0.0) -> None:
         """Shut down gracefully: refuse connections and wait until each accepted request has its response.
 
@@ -148,7 +165,7 @@
         """Accept connections until `accept_scope` is cancelled. Raises OSError for an unusable address."""
         self.task_group.start_soon(self.sweep)
         with self.accept_scope:
-            await self.net.serve_transports(address, self.make_connection, self.listening)
+            await self.net.serve_transports(address, self.make_connection, self.listening, self.accept_failed)
         self.closed.set()
 
     def make_connection(self, transport: Transport) -> BufferedDownstream | None:
--- a/gullmount/proxy/log_events.py
+++ b/gullmount/proxy/log_events.py
@@ -8,6 +8,7 @@
 class LogEvent(StrEnum):
     """Log events; docs/on-call.md describes how to respond to each."""
 
+    ACCEPT_FAILED = "accept_failed"
     CACHED_ENDPOINT_INVALID = "cached_endpoint_invalid"
     CACHED_RELEASE_INVALID = "cached_release_invalid"
     CACHED_STATE_INVALID = "cached_state_invalid"
--- a/gullmount/scale/fleet/counting_network.py
+++ b/gullmount/scale/fleet/counting_network.py
@@ -10,7 +10,7 @@
 import msgspec
 from anyio.abc import ByteStream
 
-from gullmount.net import DatagramSocket, Net, Stream, Transport, TransportProtocol
+from gullmount.net import DatagramSocket, Net, ShortageCallback, Stream, Transport, TransportProtocol
 
 MAX_CONNECTION_TIMES = 64  # newest connections of which times are kept: a client opens a few in a run
 
@@ -105,8 +105,9 @@
     async def serve_transports(
         self,
         address: str,
-        greet: Callable[[Transport], TransportProtocol | None],
+        make_protocol: Callable[[Transport], TransportProtocol | None],
         started: anyio.Event | None = None,
+        on_shortage: ShortageCallback | None = None,
     ) -> None:
         """Serve transports, not counted."""
-        await self.network.serve_transports(address, greet, started)
+        await self.network.serve_transports(address, make_protocol, started, on_shortage)
