A failed accept no longer ends gullmount proxy, replicas, origin and relays

What callers saw: one connection that came while no descriptor was free ended the process, and all its clients with it. In run, what waited in the backlog at SIGTERM while descriptors lacked was reset.

Cause: anyio's listener raises what accept raises, and nothing caught it below the program's task group. docs/incidents/accept-without-descriptors.md said otherwise, from documentation. Acceptor.stop gave up at the first failed accept.

Evidence: TcpNet.serve with RLIMIT_NOFILE 1 ends with OSError(24), under asyncio and uvloop.

Change: streams and transports share one Acceptor, which leaves the backlog alone and accepts again 20 ms later; its stop tries 25 times. All of the backlog goes through this one place, so no listener of net/ can end by accept.

--- a/gullmount/distribution/streams.py
+++ b/gullmount/distribution/streams.py
@@ -10,7 +10,7 @@
 from anyio.abc import SocketAttribute
 
 from gullmount.distribution.update_receiver import SubscriberCounters
-from gullmount.net import DatagramSocket, Stream, StreamNet
+from gullmount.net import DatagramSocket, ShortageCallback, Stream, StreamNet
 
 # Data is written in chunks of this size; each chunk has its own timeout.
 WRITE_CHUNK_BYTES = 65536
@@ -133,10 +133,14 @@
         return CountedStream(await self.network.connect(address), self.counters)
 
     async def serve(
-        self, address: str, handler: Callable[[Stream], Awaitable[Any]], started: anyio.Event | None = None
+        self,
+        address: str,
+        handler: Callable[[Stream], Awaitable[Any]],
+        started: anyio.Event | None = None,
+        on_shortage: ShortageCallback | None = None,
     ) -> None:
         """Serve on the wrapped network, without counting."""
-        await self.network.serve(address, handler, started)
+        await self.network.serve(address, handler, started, on_shortage)
 
     async def datagrams(self, address: str) -> DatagramSocket:
         """Open a datagram socket of the wrapped network, without counting."""
--- a/gullmount/emulators/links/host_network.py
+++ b/gullmount/emulators/links/host_network.py
@@ -15,7 +15,7 @@
 from gullmount.emulators.links.open_streams import without_closed
 from gullmount.emulators.links.party_link import ONE_WAY, LinkDirection
 from gullmount.errors import GullmountError
-from gullmount.net import DatagramSocket, Stream, TcpNet, abort, source_host
+from gullmount.net import DatagramSocket, ShortageCallback, Stream, TcpNet, abort, source_host
 
 
 class HostDeadError(GullmountError, ConnectionAbortedError):
@@ -75,7 +75,11 @@
         return stream
 
     async def serve(
-        self, address: str, handler: Callable[[Stream], Awaitable[Any]], started: anyio.Event | None = None
+        self,
+        address: str,
+        handler: Callable[[Stream], Awaitable[Any]],
+        started: anyio.Event | None = None,
+        on_shortage: ShortageCallback | None = None,
     ) -> None:
         """Accept until cancelled, with a task that runs `handler` for each stream. Raises OSError."""
         process = CURRENT_PROCESS.get()
@@ -88,9 +92,9 @@
             await handler(stream)
 
         if self.links.memory_network is not None:
-            await self.links.memory_network.serve(address, handle, started)
+            await self.links.memory_network.serve(address, handle, started, on_shortage)
         else:
-            await self._sockets.serve(address, handle, started)
+            await self._sockets.serve(address, handle, started, on_shortage)
 
     def _linked(self, stream: Stream, address: str) -> LinkedStream:
         """Put an accepted stream on the link of the process that connects."""
--- a/gullmount/fault_harness/hosts.py
+++ b/gullmount/fault_harness/hosts.py
@@ -19,7 +19,7 @@
     split_name,
 )
 from gullmount.leases.config import LeasingProxyConfig
-from gullmount.net import DatagramSocket, Stream, TcpNet
+from gullmount.net import DatagramSocket, ShortageCallback, Stream, TcpNet
 from gullmount.proxy import ProxyConfig
 from gullmount.scenarios.deployment import Deployment
 from gullmount.scenarios.proxy_process import ProxyFactory
@@ -51,9 +51,15 @@
             stream = await self._net.connect(address, self._party.host)
         return stream
 
-    async def serve(self, address: str, handler: Any, started: anyio.Event | None = None) -> None:
+    async def serve(
+        self,
+        address: str,
+        handler: Any,
+        started: anyio.Event | None = None,
+        on_shortage: ShortageCallback | None = None,
+    ) -> None:
         """Serve connections, until cancelled."""
-        await self._net.serve(address, handler, started)
+        await self._net.serve(address, handler, started, on_shortage)
 
     async def datagrams(self, address: str) -> DatagramSocket:
         """Open a socket for datagrams."""
--- a/gullmount/net/acceptor.py
+++ b/gullmount/net/acceptor.py
@@ -1,8 +1,8 @@
-"""Accepts connections on a listening socket directly, for callback-based transports.
+"""Accepts connections on a listening socket directly, for streams and for callback-based transports.
 
 The event loop's own server handles a shortage of file descriptors badly: it accepts a connection and closes
-it, or stops accepting for a second. Here, waiting connections stay in the kernel's backlog and are accepted
-some milliseconds later.
+it, or stops accepting for a second, or raises an error that ends the listener. Here, waiting connections stay
+in the kernel's backlog and are accepted some milliseconds later.
 """
 
 from __future__ import annotations
@@ -10,7 +10,7 @@
 import asyncio
 import select
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 
@@ -18,12 +18,14 @@
 from gullmount.net.handler_errors import HandlerErrors
 from gullmount.net.types import ShortageCallback
 
-# Delay before accepting again after a resource shortage.
+# Delay before accepting again after an error.
 ACCEPT_RETRY_SECONDS = 0.02
 # Connections accepted in one turn of the event loop; further ones wait for the next turn.
 MAX_ACCEPTS_PER_TURN = 256
 # Event loop turns that `Acceptor.stop` may take to empty the backlog.
 MAX_DRAIN_TURNS = 1024
+# Failed turns, each followed by `ACCEPT_RETRY_SECONDS`, after which `Acceptor.stop` gives up the backlog.
+MAX_FAILED_DRAIN_TURNS = 25
 
 
 class Acceptor:
@@ -36,12 +38,20 @@
     def __init__(
         self,
         listener: socket.socket,
-        make_protocol: Callable[[], asyncio.Protocol],
+        open_connection: Callable[[socket.socket], Awaitable[object]],
         handler_errors: HandlerErrors,
         on_shortage: ShortageCallback | None = None,
     ) -> None:
+        """Create an acceptor that does not accept yet.
+
+        Args:
+            listener: The listening socket, which must be non-blocking.
+            open_connection: Called with each accepted socket; it is closed if this raises.
+            handler_errors: Contains, counts and logs the errors of `open_connection` and of accepting.
+            on_shortage: Called instead of `handler_errors` if descriptors or memory are short.
+        """
         self.listener = listener
-        self._make_protocol = make_protocol
+        self._open_connection = open_connection
         self._handler_errors = handler_errors
         self._on_shortage = on_shortage
         self._loop = asyncio.get_running_loop()
@@ -59,14 +69,24 @@
         The kernel would reset the connections that are still in the backlog when the listener closes.
         """
         self._pause()
-        for _ in range(MAX_DRAIN_TURNS):
-            if not is_readable(self.listener.fileno()) or not self._accept_batch():
-                break
-            await anyio.lowlevel.checkpoint()
+        await self._drain_backlog()
         if self._open_tasks:
             await asyncio.wait(self._open_tasks)
         self.listener.close()
 
+    async def _drain_backlog(self) -> None:
+        failed_turns = 0
+        for _ in range(MAX_DRAIN_TURNS):
+            if not is_readable(self.listener.fileno()):
+                return
+            if self._accept_batch():
+                await anyio.lowlevel.checkpoint()
+                continue
+            failed_turns += 1
+            if failed_turns == MAX_FAILED_DRAIN_TURNS:
+                return
+            await anyio.sleep(ACCEPT_RETRY_SECONDS)
+
     def _pause(self) -> None:
         if self._retry_timer is not None:
             self._retry_timer.cancel()
@@ -96,7 +116,8 @@
 
     def _accept_failed(self, error: OSError) -> None:
         if self._on_shortage is not None and error.errno in RESOURCE_SHORTAGE_ERRNOS:
-            self._on_shortage(error)
+            with self._handler_errors.contained("accept"):
+                self._on_shortage(error)
         else:
             self._handler_errors.record("accept", error)
 
@@ -105,7 +126,7 @@
             try:
                 connection.setblocking(False)
                 connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                await self._loop.connect_accepted_socket(self._make_protocol, connection)
+                await self._open_connection(connection)
             except BaseException:
                 connection.close()
                 raise
--- a/gullmount/net/memory.py
+++ b/gullmount/net/memory.py
@@ -309,7 +309,11 @@
         return client_end
 
     async def serve(
-        self, address: str, handler: Callable[[Any], Awaitable[Any]], started: anyio.Event | None = None
+        self,
+        address: str,
+        handler: Callable[[Any], Awaitable[Any]],
+        started: anyio.Event | None = None,
+        on_shortage: ShortageCallback | None = None,  # noqa: ARG002 (nothing is ever short here)
     ) -> None:
         """Accept streams until cancelled and run `handler` for each in a task. Raises OSError."""
         if address in self.listeners:
@@ -343,9 +347,9 @@
         address: str,
         make_protocol: Callable[[Transport], TransportProtocol | None],
         started: anyio.Event | None = None,
-        _on_shortage: ShortageCallback | None = None,
+        on_shortage: ShortageCallback | None = None,
     ) -> None:
-        """Accept transports until cancelled. Raises OSError. Descriptors are never short here.
+        """Accept transports until cancelled. Raises OSError.
 
         A connection for which `make_protocol` returns None is aborted.
         """
@@ -359,7 +363,7 @@
                 # The transport runs in this task group because it outlives the listener.
                 self.task_group.start_soon(transport.run)
 
-        await self.serve(address, handle, started)
+        await self.serve(address, handle, started, on_shortage)
 
     async def datagrams(self, address: str) -> MemoryDatagramSocket:
         """Open a datagram socket. Raises OSError."""
--- a/gullmount/net/tcp.py
+++ b/gullmount/net/tcp.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
-from functools import partial
 from typing import Any, cast
 
 import anyio
-from anyio.abc import UDPSocket
+from anyio.abc import SocketAttribute, SocketStream, UDPSocket
 
 from gullmount.net.acceptor import Acceptor, is_readable, listening_socket
 from gullmount.net.arrival import has_ended, seconds_since_data
@@ -181,17 +181,48 @@
         return await anyio.connect_tcp(host, port, local_host=self.local_host)
 
     async def serve(
-        self, address: str, handler: Callable[[Stream], Awaitable[Any]], started: anyio.Event | None = None
+        self,
+        address: str,
+        handler: Callable[[Stream], Awaitable[Any]],
+        started: anyio.Event | None = None,
+        on_shortage: ShortageCallback | None = None,
     ) -> None:
         """Accept streams until cancelled and run `handler` for each in a task. Raises OSError."""
         host, port = parse_address(address)
+        # A host name may have several addresses, each of which gets a socket.
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=port, backlog=LISTEN_BACKLOG, reuse_port=False
         )
-        async with listener:
-            if started is not None:
-                started.set()
-            await listener.serve(partial(self._run_handler, handler))
+        sockets = [part.extra(SocketAttribute.raw_socket) for part in listener.listeners]
+        async with listener, anyio.create_task_group() as tasks:
+
+            async def open_stream(connection: socket.socket) -> None:
+                stream = await SocketStream.from_socket(connection)
+                tasks.start_soon(self._run_handler, handler, stream)
+
+            await self._accept_until_cancelled(sockets, open_stream, started, on_shortage)
+
+    async def _accept_until_cancelled(
+        self,
+        listeners: list[socket.socket],
+        open_connection: Callable[[socket.socket], Awaitable[object]],
+        started: anyio.Event | None,
+        on_shortage: ShortageCallback | None,
+    ) -> None:
+        """Accept connections on all listeners; when cancelled, empty their backlogs and close them."""
+        acceptors = [
+            Acceptor(listener, open_connection, self.handler_errors, on_shortage) for listener in listeners
+        ]
+        for acceptor in acceptors:
+            acceptor.start()
+        if started is not None:
+            started.set()
+        try:
+            await anyio.sleep_forever()
+        finally:
+            with anyio.CancelScope(shield=True):
+                for acceptor in acceptors:
+                    await acceptor.stop()
 
     async def _run_handler(self, handler: Callable[[Stream], Awaitable[Any]], stream: Stream) -> None:
         """Run the handler; if it raises, close its stream immediately."""
@@ -226,19 +257,16 @@
         """
         host, port = parse_address(address)
 
+        loop = asyncio.get_running_loop()
+
         def make_transport() -> TcpTransport:
             return TcpTransport(None, make_protocol, handler_errors=self.handler_errors)
 
+        async def open_transport(connection: socket.socket) -> None:
+            await loop.connect_accepted_socket(make_transport, connection)
+
         listener = listening_socket(host, port, LISTEN_BACKLOG)
-        acceptor = Acceptor(listener, make_transport, self.handler_errors, on_shortage)
-        acceptor.start()
-        if started is not None:
-            started.set()
-        try:
-            await anyio.sleep_forever()
-        finally:
-            with anyio.CancelScope(shield=True):
-                await acceptor.stop()
+        await self._accept_until_cancelled([listener], open_transport, started, on_shortage)
 
     async def datagrams(self, address: str) -> DatagramSocket:
         """Open a UDP socket. Raises OSError."""
--- a/gullmount/net/types.py
+++ b/gullmount/net/types.py
@@ -117,9 +117,17 @@
         """Open a stream to `address`."""
 
     async def serve(
-        self, address: str, handler: Callable[[Stream], Awaitable[Any]], started: anyio.Event | None = None
+        self,
+        address: str,
+        handler: Callable[[Stream], Awaitable[Any]],
+        started: anyio.Event | None = None,
+        on_shortage: ShortageCallback | None = None,
     ) -> None:
-        """Accept streams until cancelled and run `handler` for each in a task."""
+        """Accept streams until cancelled and run `handler` for each in a task.
+
+        While descriptors or memory are short, connections wait in the backlog and `on_shortage` is called at
+        each try, so that the caller can close what it no longer needs.
+        """
 
     async def datagrams(self, address: str) -> DatagramSocket:
         """Open a datagram socket at `address`."""
@@ -140,8 +148,7 @@
     ) -> None:
         """Accept transports until cancelled; abort those for which `make_protocol` returns None.
 
-        While descriptors or memory are short, connections wait in the backlog and `on_shortage` is called at
-        each try, so that the caller can close what it no longer needs.
+        `on_shortage` is as in `serve`.
         """
 
 
--- a/gullmount/proxy/listener.py
+++ b/gullmount/proxy/listener.py
@@ -128,7 +128,7 @@
     async def listen(self, address: str) -> None:
         """Accept connections until `accept_scope` is cancelled. Raises OSError for an unusable address."""
         with self.accept_scope:
-            await self.net.serve(address, self.start_serving, self.listening)
+            await self.net.serve(address, self.start_serving, self.listening, self.accept_failed)
         self.closed.set()
 
     async def start_serving(self, stream: Stream) -> None:
--- a/gullmount/scale/fleet/counting_network.py
+++ b/gullmount/scale/fleet/counting_network.py
@@ -89,10 +89,14 @@
         return CountingStream(self, stream, times)
 
     async def serve(
-        self, address: str, handler: Callable[[Stream], Awaitable[Any]], started: anyio.Event | None = None
+        self,
+        address: str,
+        handler: Callable[[Stream], Awaitable[Any]],
+        started: anyio.Event | None = None,
+        on_shortage: ShortageCallback | None = None,
     ) -> None:
         """Serve, not counted."""
-        await self.network.serve(address, handler, started)
+        await self.network.serve(address, handler, started, on_shortage)
 
     async def datagrams(self, address: str) -> DatagramSocket:
         """Open datagrams, not counted."""
