Keep each client connection within the limits until its descriptor is released

Clients that keep their connection used up the 256 descriptors, and nothing released them for 8 s.

Cause: at its limit the listener closed an idle connection and forgot it. The descriptor was held until the client closed. Accept then failed, and as room was made only after an accept, none was made.

Change: a connection stays in `connections` until its end is certain; those that are closing are counted apart, within a limit of their own that leaves 24 descriptors to the rest of the process. For room, first those are aborted whose client has acknowledged the response and sends no more, so that no reset overtakes a response; then an idle connection is closed in stages. A connection that has not sent its first request for 0.1 s is the last to go. A failed accept itself releases connections, an idle server connection if no other. What is read after such a time is dated by the kernel, and clients that have gone are seen first. A connect that fails for lack of descriptors or memory no longer counts against the server, and closes an idle connection.

--- a/gullmount/net/__init__.py
+++ b/gullmount/net/__init__.py
@@ -3,7 +3,7 @@
 Nothing in this package depends on HTTP.
 """
 
-from gullmount.net.descriptors import RESOURCE_SHORTAGE_ERRNOS, count_open_descriptors
+from gullmount.net.descriptors import RESOURCE_SHORTAGE_ERRNOS, connect_errno, count_open_descriptors
 from gullmount.net.handler_errors import HandlerErrors, ends_process
 from gullmount.net.memory import MemoryNet
 from gullmount.net.tcp import TcpNet
@@ -39,6 +39,7 @@
     "Transport",
     "TransportProtocol",
     "abort",
+    "connect_errno",
     "count_open_descriptors",
     "ends_process",
     "parse_address",
--- a/gullmount/net/arrival.py
+++ b/gullmount/net/arrival.py
@@ -1,20 +1,27 @@
-"""Queries the kernel for when a TCP connection last received data and whether its peer has ended it."""
+"""Queries the kernel for what a TCP connection has received and sent, and whether its peer has ended it."""
 
 from __future__ import annotations
 
+import fcntl
 import select
 import socket
 import struct
+import termios
 
 # Size of the part of struct tcp_info that every Linux since 2.6.2 has.
 TCP_INFO_BYTES = 104
+# Byte offset in struct tcp_info (linux/tcp.h) of tcpi_state.
+TCP_STATE_OFFSET = 0
+# The states (net/tcp_states.h) in which the end of the stream was sent and is not acknowledged: FIN_WAIT1,
+# LAST_ACK and CLOSING.
+END_UNACKNOWLEDGED_STATES = (4, 9, 11)
 # Byte offset in struct tcp_info (linux/tcp.h) of tcpi_last_data_recv, which is in milliseconds.
 LAST_DATA_RECEIVED_OFFSET = 52
 MILLISECONDS_PER_SECOND = 1000
 
 
-def seconds_since_data(descriptor: int) -> float | None:
-    """Return the seconds since the connection last received data; None if the kernel doesn't tell."""
+def read_tcp_info(descriptor: int) -> bytes | None:
+    """Return the kernel's struct tcp_info of the connection; None if the kernel does not tell."""
     if not hasattr(socket, "TCP_INFO") or descriptor < 0:
         return None
     try:
@@ -23,12 +30,20 @@
         return None
     try:
         info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
-        milliseconds: int = struct.unpack_from("I", info, LAST_DATA_RECEIVED_OFFSET)[0]
-    except (OSError, struct.error):
+    except OSError:
         return None
     finally:
         # The descriptor belongs to the caller, so it stays open.
         connection.detach()
+    return info if len(info) == TCP_INFO_BYTES else None
+
+
+def seconds_since_data(descriptor: int) -> float | None:
+    """Return the seconds since the connection last received data; None if the kernel does not tell."""
+    info = read_tcp_info(descriptor)
+    if info is None:
+        return None
+    milliseconds: int = struct.unpack_from("I", info, LAST_DATA_RECEIVED_OFFSET)[0]
     return milliseconds / MILLISECONDS_PER_SECOND
 
 
@@ -39,3 +54,20 @@
     poll = select.poll()
     poll.register(descriptor, select.POLLRDHUP)
     return bool(poll.poll(0))
+
+
+def unacknowledged_bytes(descriptor: int) -> int:
+    """Return the bytes that were sent and that the peer has not acknowledged; 0 if the kernel does not tell.
+
+    An end of stream that was sent does not count.
+    """
+    info = read_tcp_info(descriptor)
+    if info is None:
+        return 0
+    try:
+        answer = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(struct.calcsize("i")))
+    except OSError:
+        return 0
+    count: int = struct.unpack("i", answer)[0]
+    # The kernel counts an unacknowledged end of stream as one byte.
+    return count - (info[TCP_STATE_OFFSET] in END_UNACKNOWLEDGED_STATES)
--- a/gullmount/net/descriptors.py
+++ b/gullmount/net/descriptors.py
@@ -23,3 +23,9 @@
         if error.errno != errno.EMFILE:
             return None
         return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+
+
+def connect_errno(error: BaseException) -> int | None:
+    """Return the errno of a failed connect, also if anyio wrapped the error in one without an errno."""
+    cause = error.__cause__ if error.__cause__ is not None else error
+    return getattr(cause, "errno", None)
--- a/gullmount/net/memory.py
+++ b/gullmount/net/memory.py
@@ -199,6 +199,11 @@
         """Written bytes that the stream has not accepted yet."""
         return sum(map(len, self.unsent_chunks))
 
+    @property
+    def unacknowledged_bytes(self) -> int:
+        """Return 0: what the stream has accepted is at the peer's end."""
+        return 0
+
     @property
     def is_idle(self) -> bool:
         """Whether the transport is open and neither data nor an end of stream is pending unread."""
--- a/gullmount/net/tcp.py
+++ b/gullmount/net/tcp.py
@@ -11,7 +11,7 @@
 from anyio.abc import SocketAttribute, SocketStream, UDPSocket
 
 from gullmount.net.acceptor import Acceptor, is_readable, listening_socket
-from gullmount.net.arrival import has_ended, seconds_since_data
+from gullmount.net.arrival import has_ended, seconds_since_data, unacknowledged_bytes
 from gullmount.net.handler_errors import HandlerErrors
 from gullmount.net.types import (
     DatagramSocket,
@@ -112,6 +112,13 @@
         """Written bytes that the kernel has not accepted yet; after the end, those it never accepted."""
         return self.unsent_bytes_at_close if self.closed else self.transport.get_write_buffer_size()
 
+    @property
+    def unacknowledged_bytes(self) -> int:
+        """Bytes that were sent and that the peer's kernel has not acknowledged."""
+        if self.closed or self.transport.is_closing():
+            return 0
+        return unacknowledged_bytes(self.transport.get_extra_info("socket").fileno())
+
     @property
     def is_idle(self) -> bool:
         """Whether the transport is open and neither data nor an end of stream is pending unread."""
--- a/gullmount/net/types.py
+++ b/gullmount/net/types.py
@@ -67,6 +67,13 @@
     def unsent_bytes(self) -> int:
         """Written bytes that the network has not accepted yet; after the end, those it never accepted."""
 
+    @property
+    def unacknowledged_bytes(self) -> int:
+        """Bytes that the network has accepted and the peer has not acknowledged; 0 if unknown.
+
+        Reading this property queries the network.
+        """
+
     @property
     def is_idle(self) -> bool:
         """Whether the transport is open and neither data nor an end of stream is pending unread.
--- a/gullmount/platform/discovery_client.py
+++ b/gullmount/platform/discovery_client.py
@@ -14,7 +14,7 @@
 
 from gullmount.decisions.endpoint_freshness import CallFailure, PlannedCall, response_deadline
 from gullmount.errors import GullmountError
-from gullmount.net import STREAM_ERRORS, Net, Stream
+from gullmount.net import RESOURCE_SHORTAGE_ERRNOS, STREAM_ERRORS, Net, Stream, connect_errno
 from gullmount.platform.endpoint_codec import EndpointPage, decode_page
 from gullmount.platform.errors import EndpointListTooLongError, InvalidPlatformMessageError
 from gullmount.proxy.event_loop_stalls import EventLoopStalls
@@ -28,10 +28,9 @@
 MILLISECONDS_PER_SECOND = 1000
 STATUS_OK = 200
 # Errors of a connect that this machine causes: no descriptors, ports, memory or permission, or a signal.
-LOCAL_CONNECT_ERRNOS = (
-    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EADDRINUSE,
-    errno.EAGAIN, errno.EINTR, errno.EPERM, errno.EACCES,
-)  # fmt: skip
+LOCAL_CONNECT_ERRNOS = RESOURCE_SHORTAGE_ERRNOS | {
+    errno.EADDRNOTAVAIL, errno.EADDRINUSE, errno.EAGAIN, errno.EINTR, errno.EPERM, errno.EACCES,
+}  # fmt: skip
 
 
 class DiscoveryCallError(GullmountError):
@@ -199,9 +198,3 @@
             call.record_bytes(self.now(), self.stalls.arrival_time())
             parser.feed(data)
         return parser.parts.popleft()
-
-
-def connect_errno(error: BaseException) -> int | None:
-    """Return the errno of a failed connect, also if anyio wrapped the error in one without an errno."""
-    cause = error.__cause__ if error.__cause__ is not None else error
-    return getattr(cause, "errno", None)
--- a/gullmount/platform/http_adapter.py
+++ b/gullmount/platform/http_adapter.py
@@ -51,9 +51,11 @@
 # Share of the descriptors for client connections. Clients need a third of the descriptors for requests; the
 # remainder is for connections that carry no request.
 DOWNSTREAM_DESCRIPTOR_SHARE = 0.45
-# Share of the descriptors for server connections. The descriptors that remain are for discovery, the release
-# controller and the process itself.
+# Share of the descriptors for server connections.
 UPSTREAM_DESCRIPTOR_SHARE = 0.35
+# Descriptors for discovery, the release controller, votes, the process itself, and connections that are being
+# accepted or opened. What remains is for client connections that are closing.
+RESERVED_DESCRIPTORS = 24
 MAX_CONNECTIONS_PER_SERVER = 64
 # Maximum number of digits of a request timeout in milliseconds; 9 digits allow more than 11 days.
 MAX_TIMEOUT_DIGITS = 9
@@ -247,11 +249,15 @@
 
 def downstream_limits(descriptor_limit: int) -> DownstreamLimits:
     """Return the limits on client connections; `descriptor_limit` is the number of file descriptors."""
+    max_connections = int(descriptor_limit * DOWNSTREAM_DESCRIPTOR_SHARE)
+    max_upstream_connections = int(descriptor_limit * UPSTREAM_DESCRIPTOR_SHARE)
+    remaining = descriptor_limit - max_connections - max_upstream_connections - RESERVED_DESCRIPTORS
     return DownstreamLimits(
         max_head_bytes=MAX_HEAD_BYTES,
         max_body_bytes=MAX_BODY_BYTES,
         max_buffered_body_bytes=MAX_BODY_BYTES,
-        max_connections=int(descriptor_limit * DOWNSTREAM_DESCRIPTOR_SHARE),
+        max_connections=max_connections,
+        max_closing_connections=max(0, remaining),
         evicts_idle_connections=True,
         first_request_timeout=FIRST_REQUEST_TIMEOUT_SECONDS,
         read_timeout=READ_TIMEOUT_SECONDS,
--- a/gullmount/platform/reporting.py
+++ b/gullmount/platform/reporting.py
@@ -55,6 +55,7 @@
             open_requests=len(runtime.exchanges),
             open_descriptors=count_open_descriptors(),
             client_connections=len(self.listener.connections),
+            closing_connections=len(self.listener.closing),
             server_connections=runtime.upstream.open_connections,
             servers=len(runtime.router.endpoints.servers),
             servers_ready=runtime.router.endpoints.ready_count,
--- a/gullmount/proxy/buffered_downstream.py
+++ b/gullmount/proxy/buffered_downstream.py
@@ -63,10 +63,21 @@
         self,
         runtime: ProxyRuntime,
         transport: Transport,
+        on_closing: Callable[[BufferedDownstream], None],
         on_end: Callable[[BufferedDownstream], None],
         rejects_requests: bool = False,
     ) -> None:
+        """Create the connection.
+
+        Args:
+            runtime: runtime of the instance.
+            transport: the accepted connection.
+            on_closing: called when `closed` is set while the descriptor is still held.
+            on_end: called when the connection has ended and its descriptor is released.
+            rejects_requests: see the attribute.
+        """
         self.rejects_requests = rejects_requests
+        self.on_closing = on_closing
         self.on_end = on_end
         self.runtime = runtime
         self.limits = runtime.adapter.downstream_limits
@@ -97,9 +108,26 @@
         return self.exchange is not None or self.transport.unsent_bytes > 0
 
     @property
-    def response_delivered(self) -> bool:
-        """Whether everything has been sent and the connection only waits for the client to close."""
-        return self.closed and not self.transport.unsent_bytes
+    def finished(self) -> bool:
+        """Whether the connection only waits for the client to close and can be aborted without harm.
+
+        That is the case once the client's system has acknowledged the response (RFC 9112, section 9.6),
+        unless the client has gone on sending: a TCP reset could then reach it before it reads the response.
+        Reading this property queries the kernel.
+        """
+        if not self.closed or self.lingered_bytes or self.transport.unsent_bytes:
+            return False
+        return not self.transport.unacknowledged_bytes
+
+    @property
+    def linger_deadline(self) -> float:
+        """The time until which received bytes are discarded, because a TCP reset could overtake the response.
+
+        A client that has not acknowledged its response gets as long as it may take to accept one.
+        """
+        if self.transport.unacknowledged_bytes:
+            return self.last_write_at + self.limits.write_timeout
+        return self.last_write_at + self.limits.linger_timeout
 
     # Called by the transport.
 
@@ -146,7 +174,7 @@
             if now >= self.unsent_since + self.limits.write_timeout:
                 self.abort()
         elif self.closed:
-            if now >= self.last_write_at + self.limits.linger_timeout:
+            if now >= self.linger_deadline:
                 self.transport.close()
         elif now >= self.deadline:
             if self.idle:
@@ -164,10 +192,8 @@
         if self.closed or (self.idle and not self.transport.is_idle):
             return
         self.closed = True
-        if (
-            self.transport.unsent_bytes
-            or self.runtime.now() < self.last_write_at + self.limits.linger_timeout
-        ):
+        self.on_closing(self)
+        if self.transport.unsent_bytes or self.runtime.now() < self.linger_deadline:
             self.transport.write_eof()
         else:
             self.transport.close()
@@ -180,6 +206,7 @@
     def abort(self) -> None:
         """Abort the connection at once."""
         self.closed = True
+        self.on_closing(self)
         self.transport.abort()
 
     # Reading requests.
--- a/gullmount/proxy/buffered_upstream.py
+++ b/gullmount/proxy/buffered_upstream.py
@@ -319,10 +319,8 @@
             with anyio.fail_after(self.limits.connect_timeout):
                 address = self.adapter.server_address(connection.server_id)
                 connection.transport = await self.net.connect_transport(address, connection)
-        except TimeoutError:
-            return AttemptEnd.CONNECT_TIMEOUT
-        except (OSError, LookupError):
-            return AttemptEnd.CONNECT_REFUSED
+        except (OSError, LookupError) as error:
+            return self.connect_failure(error)
         except BaseException:
             connection.mark_closed()
             raise
--- a/gullmount/proxy/downstream.py
+++ b/gullmount/proxy/downstream.py
@@ -32,18 +32,20 @@
         idle: whether no request has begun to arrive since the last one.
         idle_since: when the connection last became idle, in seconds of the runtime's clock.
         requests_accepted: number of requests accepted on this connection.
+        closed: whether the connection accepts no request any more.
     """
 
     idle: bool
     idle_since: float
     requests_accepted: int
+    closed: bool
 
     @property
     def busy(self) -> bool:
         """Whether an accepted request still awaits its response or the response is still being sent."""
 
     def close(self) -> None:
-        """Close the connection; no request may be in flight."""
+        """Close the connection unless a request has begun to arrive; no request may be in flight."""
 
     def reject_unread_request(self) -> None:
         """Reject a request that has not been read completely; called at the end of a graceful shutdown."""
--- a/gullmount/proxy/event_loop_stalls.py
+++ b/gullmount/proxy/event_loop_stalls.py
@@ -93,6 +93,13 @@
         """Whether data that is read now may have arrived during a stall."""
         return self.check_for_stall() < self.stalled_recently_until
 
+    def accept_delayed(self) -> None:
+        """Record that connections wait to be accepted: what is read from them may have arrived earlier.
+
+        No decision is deferred: the loop reads all other sockets in time.
+        """
+        self.stalled_recently_until = max(self.stalled_recently_until, self.clock() + RECENT_STALL_SECONDS)
+
     def arrival_time(self, seconds_since_data: SecondsSinceData = unknown_data_age) -> float:
         """Return the earliest time at which data that is read now can have arrived.
 
--- a/gullmount/proxy/generic_adapter.py
+++ b/gullmount/proxy/generic_adapter.py
@@ -42,6 +42,7 @@
             max_body_bytes=clients.body_most,
             max_buffered_body_bytes=clients.body_kept,
             max_connections=clients.connections,
+            max_closing_connections=0,
             evicts_idle_connections=False,
             first_request_timeout=inf,
             read_timeout=clients.read_within,
--- a/gullmount/proxy/listener.py
+++ b/gullmount/proxy/listener.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from math import inf
 from typing import Generic, TypeVar
 
@@ -22,10 +23,12 @@
 SHUTDOWN_POLL_INTERVAL_SECONDS = 0.01
 # Idle time after which a shutdown closes a connection: a request may still be on its way.
 SHUTDOWN_IDLE_SECONDS = 0.1
-# Connections that are accepted beyond the limit, each for one error response, because their request may
-# already have arrived.
-MAX_OVERFLOW_CONNECTIONS = 32
+# Connections that may be released at each failed accept. Accepting is tried every 0.02 s, so that hundreds of
+# connections a second find a descriptor.
+MAX_RELEASES_PER_FAILED_ACCEPT = 16
 SWEEP_INTERVAL_SECONDS = 0.2
+# Time in which a new connection usually sends its first request.
+NEW_CONNECTION_SECONDS = 0.1
 ACCEPT_FAILURE_LOG_INTERVAL_SECONDS = 1.0
 
 ConnectionT = TypeVar("ConnectionT", bound=DownstreamConnection)
@@ -34,8 +37,12 @@
 class Listener(Generic[ConnectionT]):
     """Accepts and tracks the client connections of one proxy instance.
 
+    Each accepted connection stays in `connections`, and so within the limits and under the listener's checks,
+    until its end is certain. No other code may give up a connection that still holds its descriptor.
+
     Attributes:
-        connections: open connections, oldest first.
+        connections: connections that hold a descriptor, oldest first.
+        closing: those among them that accept no request any more, in the order in which they were closed.
         accept_scope: cancelled to stop accepting connections.
         listening: set once connections are accepted.
         closed: set once the listening socket is closed.
@@ -47,6 +54,7 @@
         self.net = net
         self.task_group = task_group
         self.connections: dict[ConnectionT, None] = {}
+        self.closing: dict[ConnectionT, None] = {}
         self.accept_scope = anyio.CancelScope()
         self.listening = anyio.Event()
         self.closed = anyio.Event()
@@ -58,25 +66,68 @@
 
     @property
     def is_full(self) -> bool:
-        """Whether the number of connections is at the limit."""
-        return len(self.connections) >= self.runtime.adapter.downstream_limits.max_connections
+        """Whether the number of connections that accept requests is at the limit."""
+        open_count = len(self.connections) - len(self.closing)
+        return open_count >= self.runtime.adapter.downstream_limits.max_connections
 
     def idle_connections(self) -> list[ConnectionT]:
         """Return the idle connections in the order in which they are evicted.
 
-        Connections that have never sent a request come first, because some clients open hundreds of
-        connections and send nothing.
+        Connections that have not sent a request come first, because some clients open hundreds of connections
+        and send nothing. New ones come last: their first request is probably on its way, and a client does
+        not repeat it.
         """
-        idle = [conn for conn in self.connections if conn.idle and not conn.busy]
-        return sorted(idle, key=lambda conn: (conn.requests_accepted > 0, conn.idle_since))
+        silent_cutoff = self.runtime.now() - NEW_CONNECTION_SECONDS
+        idle = [conn for conn in self.connections if conn.idle and not conn.busy and not conn.closed]
+
+        def eviction_order(connection: ConnectionT) -> tuple[bool, bool, float]:
+            has_sent_request = connection.requests_accepted > 0
+            is_new = not has_sent_request and connection.idle_since > silent_cutoff
+            return is_new, has_sent_request, connection.idle_since
+
+        return sorted(idle, key=eviction_order)
 
     def remove_connection(self, connection: ConnectionT) -> None:
         """Stop tracking a connection that has ended, or whose end is certain but not reported yet."""
         self.connections.pop(connection, None)
+        self.closing.pop(connection, None)
+
+    def connection_closing(self, connection: ConnectionT) -> None:
+        """Record that the connection accepts no request any more but still holds its descriptor."""
+        if connection in self.connections:
+            self.closing[connection] = None
+
+    def evict_idle_connection(self) -> bool:
+        """Close the idle connection that is needed least; return whether there was one.
+
+        A connection with unread data from its client is skipped in favor of the next one.
+        """
+        for connection in self.idle_connections():
+            connection.close()
+            if connection.closed:
+                return True
+        return False
+
+    def release_connection(self) -> bool:
+        """Close or abort the connection that is needed least; return whether there was one."""
+        return self.evict_idle_connection()
 
     def accept_failed(self, error: OSError) -> None:
-        """Count and log that a connection waits in the backlog because descriptors or memory are short."""
+        """Release connections, because one waits in the backlog while descriptors or memory are short.
+
+        If all client connections are in use, an idle server connection is closed.
+        """
         self.runtime.counters.accept_failures += 1
+        self.runtime.stalls.accept_delayed()
+        self.log_accept_failure(error)
+        released = 0
+        while released < MAX_RELEASES_PER_FAILED_ACCEPT and self.release_connection():
+            released += 1
+        if not released:
+            self.runtime.upstream.close_oldest_idle()
+
+    def log_accept_failure(self, error: OSError) -> None:
+        """Log what holds the descriptors, at most once in `ACCEPT_FAILURE_LOG_INTERVAL_SECONDS`."""
         now = self.runtime.now()
         if now >= self.accept_failure_logged_at + ACCEPT_FAILURE_LOG_INTERVAL_SECONDS:
             self.accept_failure_logged_at = now
@@ -84,6 +135,7 @@
                 LogEvent.ACCEPT_FAILED,
                 reason=error.strerror,
                 open_connections=len(self.connections),
+                closing_connections=len(self.closing),
                 open_descriptors=count_open_descriptors(),
             )
 
@@ -150,13 +202,6 @@
         finally:
             self.remove_connection(connection)
 
-    def evict_idle_connection(self) -> None:
-        """Close one idle connection, if any, to admit a new one."""
-        idle = self.idle_connections()
-        if idle:
-            idle[0].close()
-            self.remove_connection(idle[0])
-
 
 class BufferedListener(Listener[BufferedDownstream]):
     """Serves connections through callbacks, without a task per connection."""
@@ -170,36 +215,63 @@
 
     def make_connection(self, transport: Transport) -> BufferedDownstream | None:
         """Return the protocol object for a new connection, or None to drop the connection."""
-        limits = self.runtime.adapter.downstream_limits
-        if self.is_full and limits.evicts_idle_connections:
-            self.evict_idle_connection()
+        self.make_room()
         rejects_requests = self.is_full or self.runtime.refuses_requests
         open_connections = len(self.connections)
-        if open_connections >= limits.max_connections + MAX_OVERFLOW_CONNECTIONS:
+        if open_connections >= self.max_tracked_connections:
             self.runtime.log_event(
                 LogEvent.CONNECTION_DROPPED, reason="too many", open_connections=open_connections
             )
             return None
-        connection = BufferedDownstream(self.runtime, transport, self.remove_connection, rejects_requests)
+        connection = BufferedDownstream(
+            self.runtime, transport, self.connection_closing, self.remove_connection, rejects_requests
+        )
         self.connections[connection] = None
         return connection
 
-    def evict_idle_connection(self) -> None:
-        """Close one connection that is no longer needed, if any, to admit a new one.
+    @property
+    def max_tracked_connections(self) -> int:
+        """The limit on all connections that hold a descriptor."""
+        limits = self.runtime.adapter.downstream_limits
+        return limits.max_connections + limits.max_closing_connections
+
+    def make_room(self) -> None:
+        """Close connections that are no longer needed so that a new one stays within the limits.
 
-        A connection that only waits for its client to close is evicted first. An idle connection with unread
-        data from its client is skipped in favor of the next one.
+        Connections that only wait for their client to close are aborted first.
         """
-        finished_connection = next((conn for conn in self.connections if conn.response_delivered), None)
-        if finished_connection is not None:
-            finished_connection.abort()
-            self.remove_connection(finished_connection)
+        limits = self.runtime.adapter.downstream_limits
+        if not limits.evicts_idle_connections:
             return
-        for connection in self.idle_connections():
-            connection.close()
-            if connection.closed:
-                self.remove_connection(connection)
-                return
+        if len(self.connections) >= limits.max_connections:
+            self.abort_finished_connection()
+        if self.is_full:
+            self.evict_idle_connection()
+        if len(self.connections) >= self.max_tracked_connections:
+            self.abort_oldest_closing_connection()
+
+    def release_connection(self) -> bool:
+        """Abort a finished connection, else close an idle one; return whether there was one."""
+        return self.abort_finished_connection() or self.evict_idle_connection()
+
+    def abort_finished_connection(self) -> bool:
+        """Abort the finished connection that was closed first; return whether there is one."""
+        return self.abort_first(connection for connection in self.closing if connection.finished)
+
+    def abort_oldest_closing_connection(self) -> bool:
+        """Abort the connection that was closed first of those that have sent everything."""
+        return self.abort_first(
+            connection for connection in self.closing if not connection.transport.unsent_bytes
+        )
+
+    def abort_first(self, connections: Iterator[BufferedDownstream]) -> bool:
+        """Abort the first connection, whose end is then certain; return whether there is one."""
+        connection = next(connections, None)
+        if connection is None:
+            return False
+        connection.abort()
+        self.remove_connection(connection)
+        return True
 
     async def sweep(self) -> None:
         """Check the deadlines of all connections periodically until cancelled."""
--- a/gullmount/proxy/outcomes.py
+++ b/gullmount/proxy/outcomes.py
@@ -20,7 +20,7 @@
     CONNECT_REFUSED = "connect refused, or broken before a byte of the request was written"
     CONNECT_TIMEOUT = "not connected within the connect timeout"
     DEADLINE_WHILE_CONNECTING = "the attempt's time ran out while connecting"
-    NO_CONNECTION_AVAILABLE = "all connections allowed to the server are in use"
+    NO_CONNECTION_AVAILABLE = "all connections allowed are in use, or descriptors or memory are short here"
     SERVER_WITHDRAWN = "no longer allowed once the connection was up; nothing was written"
     BODY_NOT_REPLAYABLE = "the body was streamed once and cannot be sent again"
     WRITE_FAILED = "the connection broke while the request was being written"
--- a/gullmount/proxy/protocol_adapter.py
+++ b/gullmount/proxy/protocol_adapter.py
@@ -27,6 +27,8 @@
         max_buffered_body_bytes: maximum size of a body that is buffered and can be sent again. The rest of a
             larger body is relayed as it arrives, where the adapter allows it.
         max_connections: maximum number of open client connections.
+        max_closing_connections: maximum number of connections beyond `max_connections`: they wait for their
+            client to close, or get one error response because their request may already have arrived.
         evicts_idle_connections: whether a new connection at the limit replaces an idle one; otherwise the new
             one is refused.
         first_request_timeout: time from the start of a connection until its first request is complete.
@@ -34,13 +36,15 @@
         idle_timeout: time that a connection may stay idle between requests.
         write_timeout: time for the client to accept a response.
         linger_timeout: time during which received bytes are read and discarded after the last response,
-            because a TCP reset could overtake that response.
+            because a TCP reset could overtake that response. Until the client has acknowledged the response,
+            `write_timeout` applies instead.
     """
 
     max_head_bytes: int
     max_body_bytes: int
     max_buffered_body_bytes: int
     max_connections: int
+    max_closing_connections: int
     evicts_idle_connections: bool
     first_request_timeout: float
     read_timeout: float
--- a/gullmount/proxy/runtime.py
+++ b/gullmount/proxy/runtime.py
@@ -53,12 +53,15 @@
     Attributes:
         shutting_down: Whether each response ends its connection.
         refuses_requests: Whether new connections are no longer served.
+        upstream: The connections to servers.
         random: Source of jitter for the clients of other services. The router has its own.
         stalls: Detects the times in which the event loop did not run.
         handler_errors: Contains and logs unexpected exceptions of connection and message handlers.
         watch_requested: Whether the router asked for endpoints before `on_watch_endpoints` was set.
     """
 
+    upstream: BufferedUpstream | StreamingUpstream
+
     def __init__(
         self,
         adapter: ProtocolAdapter,
@@ -260,6 +263,8 @@
 class StreamingRuntime(ProxyRuntime):
     """Runs a task per attempt, for adapters that relay messages too large to buffer."""
 
+    upstream: StreamingUpstream
+
     def __init__(
         self,
         adapter: ProtocolAdapter,
@@ -304,6 +309,8 @@
 class BufferedRuntime(ProxyRuntime):
     """Uses callbacks instead of tasks, for adapters that buffer every message whole."""
 
+    upstream: BufferedUpstream
+
     def __init__(
         self,
         adapter: ProtocolAdapter,
--- a/gullmount/proxy/streaming_downstream.py
+++ b/gullmount/proxy/streaming_downstream.py
@@ -55,6 +55,7 @@
         exchange: the request in flight, if any.
         busy: whether an accepted request still awaits its response or the response is still being sent.
         idle: whether the connection is between requests.
+        closed: whether `close` was called and the connection is about to end.
         request_complete: whether the request in flight has been read completely.
     """
 
@@ -70,6 +71,7 @@
         self.idle = True
         self.idle_since = runtime.now()
         self.requests_accepted = 0
+        self.closed = False
         self.connection_scope = anyio.CancelScope()
         self.request_complete = True
 
@@ -86,8 +88,10 @@
         """Do nothing: a request that has not been accepted ends with its connection."""
 
     def close(self) -> None:
-        """Close the connection, which must be idle."""
-        self.connection_scope.cancel()
+        """Close the connection, which must be idle, unless a request has begun to arrive."""
+        if not self.incoming.chunks:
+            self.closed = True
+            self.connection_scope.cancel()
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
--- a/gullmount/proxy/streaming_upstream.py
+++ b/gullmount/proxy/streaming_upstream.py
@@ -153,10 +153,8 @@
                 stream = await self.net.connect(self.adapter.server_address(server_id))
         except BaseException as error:
             self.connection_lost(server_id, pool)
-            if isinstance(error, TimeoutError):
-                return AttemptEnd.CONNECT_TIMEOUT
             if isinstance(error, OSError | LookupError):
-                return AttemptEnd.CONNECT_REFUSED
+                return self.connect_failure(error)
             raise
         connection = Connection(stream, pool, self.clock())
         self.task_group.start_soon(self.run_connection, server_id, pool, connection)
--- a/gullmount/proxy/upstream_pool.py
+++ b/gullmount/proxy/upstream_pool.py
@@ -7,6 +7,8 @@
 
 import anyio
 
+from gullmount.net import RESOURCE_SHORTAGE_ERRNOS, connect_errno
+from gullmount.proxy.outcomes import AttemptEnd
 from gullmount.proxy.protocol_adapter import ProtocolAdapter
 
 # An idle connection may stay open this much longer than its timeout.
@@ -90,6 +92,19 @@
         pool.open_count -= 1
         self.open_connections -= 1
 
+    def connect_failure(self, error: OSError | LookupError) -> AttemptEnd:
+        """Return how an attempt ends whose connection could not be opened because of `error`.
+
+        If descriptors or memory are short here, the server is not to blame: an idle connection is closed, so
+        that the next attempt may find a descriptor.
+        """
+        if isinstance(error, TimeoutError):
+            return AttemptEnd.CONNECT_TIMEOUT
+        if connect_errno(error) in RESOURCE_SHORTAGE_ERRNOS:
+            self.close_oldest_idle()
+            return AttemptEnd.NO_CONNECTION_AVAILABLE
+        return AttemptEnd.CONNECT_REFUSED
+
     def close_idle(self, pool: ServerPool[ConnectionT], connection: ConnectionT) -> None:
         """Close an idle connection and remove it from its pool."""
         pool.idle.remove(connection)
