--- a/tests/platform/test_descriptor_shortage.py
+++ b/tests/platform/test_descriptor_shortage.py
@@ -1,10 +1,13 @@
-"""Tests that connections wait and get responses while the real process has no free descriptor (EMFILE)."""
+"""Tests that connections wait and get responses when the real process has no free descriptor (EMFILE)."""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import resource
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 from tests.support.platform_world import (
@@ -12,10 +15,12 @@
     StubPlatform,
     configuration,
     fixed_response_server,
+    read_message,
     request_bytes,
 )
 
 CLIENT_COUNT = 12
+KEPT_CONNECTIONS = 40
 # Each server can process four requests at once.
 SERVER_COUNT = 4
 SHORTAGE_SECONDS = 0.4
@@ -67,3 +72,52 @@
             await world.close()
 
     asyncio.run(scenario())
+
+
+@asynccontextmanager
+async def running_proxy(folder: Path, world: StubPlatform) -> AsyncIterator[ProxyProcess]:
+    await world.serve_platform()
+    for number in range(SERVER_COUNT):
+        await world.add_server(8120 + number, fixed_response_server(OK))
+    proxy = ProxyProcess(
+        folder, configuration(known={"revision": 1, "complete": True, "members": world.members})
+    )
+    await proxy.start()
+    try:
+        await asyncio.sleep(0.5)
+        yield proxy
+    finally:
+        await proxy.stop()
+        await world.close()
+
+
+async def keep_connections(proxy: ProxyProcess, count: int) -> list[asyncio.StreamWriter]:
+    """Open connections on which a request was served and that their clients keep."""
+    writers: list[asyncio.StreamWriter] = []
+    for number in range(count):
+        reader, writer = await proxy.connect()
+        writer.write(request_bytes(f"kept{number}"))
+        head, _ = await read_message(reader)
+        assert head.startswith(b"HTTP/1.1 200")
+        writers.append(writer)
+    return writers
+
+
+def test_connections_that_clients_keep_are_closed_for_new_ones_when_descriptors_lack(tmp_path: Path) -> None:
+    """Guards against a shortage that lasts as long as idle connections: room was made after accepts alone."""
+
+    async def scenario() -> None:
+        async with running_proxy(tmp_path, StubPlatform()) as proxy:
+            kept = await keep_connections(proxy, KEPT_CONNECTIONS)
+            pid = proxy.process.pid
+            set_descriptor_limit(pid, len(os.listdir(f"/proc/{pid}/fd")))
+            for number in range(CLIENT_COUNT):
+                response = await proxy.request(request_bytes(f"r{number}"), RESPONSE_TIMEOUT_SECONDS)
+                assert response.startswith((b"HTTP/1.1 200", b"HTTP/1.1 503"))
+            for writer in kept:
+                writer.close()
+            log_lines = [json.loads(line) for line in (await proxy.stop()).splitlines()]
+            failures = [line for line in log_lines if line["event"] == "accept_failed"]
+            assert failures and failures[0]["open_descriptors"] and failures[0]["reason"]
+
+    asyncio.run(scenario())
--- a/tests/proxy/test_listener_descriptors.py
+++ b/tests/proxy/test_listener_descriptors.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections.abc import Callable
 from dataclasses import replace
@@ -15,6 +16,7 @@
 
 from gullmount.net import count_open_descriptors
 from gullmount.proxy.listener import SWEEP_INTERVAL_SECONDS
+from gullmount.proxy.protocol_adapter import CONNECTION_REUSE_DELAY_SECONDS
 from tests.support.platform_world import HOST, OK
 from tests.support.race_scenes import (
     PROXY_PORT,
@@ -22,6 +24,7 @@
     accept,
     assert_serves_request,
     client,
+    is_readable,
     proxy_harness,
     receive_message,
     receive_until_eof,
@@ -200,3 +203,32 @@
             assert (await receive_message(new_client)).endswith(b"\r\n\r\nok")
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("leave", [reset, socket.socket.close, end_sending])
+def test_request_whose_client_left_while_it_waited_to_be_accepted_reaches_no_server(
+    tmp_path: Path, leave: Callable[[socket.socket], None]
+) -> None:
+    """Guards against attempts that begin long after the client's close, when accept failed until then."""
+
+    async def scenario() -> None:
+        async with proxy_harness(tmp_path) as harness:
+            kept_client = client(request_bytes("a0"))
+            server_connection = await accept(harness.server_listener)
+            await receive_message(server_connection)
+            server_connection.sendall(OK)
+            assert (await receive_message(kept_client)).endswith(b"\r\n\r\nok")
+            # An attempt would be sent on the open server connection at once.
+            await anyio.sleep(2 * CONNECTION_REUSE_DELAY_SECONDS)
+            assert harness.runtime.upstream.pools["s-1"].idle
+            harness.proxy.listener.accept_failed(OSError(errno.EMFILE, "planted"))
+            late_client = client(request_bytes("a1"))
+            leave(late_client)
+            later_client = client(HEALTH_CHECK)
+            assert (await receive_message(later_client)).startswith(b"HTTP/1.1 200")
+            later_client.close()
+            await wait_until(lambda: not harness.proxy.listener.connections)
+            assert not is_readable(server_connection) and not is_readable(harness.server_listener)
+            assert not harness.runtime.exchanges
+
+    run_scenario(scenario)
--- a/tests/proxy/test_streaming.py
+++ b/tests/proxy/test_streaming.py
@@ -5,13 +5,14 @@
 
 from __future__ import annotations
 
+import errno
 from typing import Any
 
 import anyio
 import pytest
 
 from gullmount.decisions.model import Outcome
-from gullmount.net import Net, Stream, abort
+from gullmount.net import STREAM_ERRORS, Net, Stream, abort
 from gullmount.proxy.outcomes import AttemptEnd, attempt_outcome
 from tests.support.proxy_edge import (
     OK_RESPONSE,
@@ -473,3 +474,26 @@
             assert b" 200 " in await harness.send_and_read(LOOK_REQUEST, 0.3)
 
     run_with_net(virtual, scenario)
+
+
+@on_both_networks
+def test_failed_accept_closes_idle_client_connections_only(virtual: bool) -> None:
+    """Guards against a proxy that accepts nobody while clients keep connections that they do not use."""
+
+    async def scenario(net: Net) -> None:
+        async with proxy_fixture(net, {"9001": respond_with(OK_RESPONSE, pause=0.2)}) as fixture:
+            idle_client = await fixture.connect_client()
+            await idle_client.send(LOOK_REQUEST)
+            assert await idle_client.receive()
+            busy_client = await fixture.connect_client()
+            await busy_client.send(LOOK_REQUEST)
+            await anyio.sleep(0.1)
+            fixture.proxy.listener.accept_failed(OSError(errno.EMFILE, "planted"))
+            with anyio.fail_after(1.0), pytest.raises(STREAM_ERRORS):
+                while True:
+                    await idle_client.receive()
+            assert (await busy_client.receive()).endswith(b"ok")
+            await idle_client.aclose()
+            await busy_client.aclose()
+
+    run_with_net(virtual, scenario)
--- a/tests/proxy/test_upstream_pool.py
+++ b/tests/proxy/test_upstream_pool.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Awaitable, Callable
 from typing import Any, cast
 
 import anyio
+import pytest
 import trio.testing
 
+from gullmount.proxy.outcomes import AttemptEnd
 from gullmount.proxy.protocol_adapter import ProtocolAdapter, UpstreamLimits
 from gullmount.proxy.upstream_pool import PooledUpstream, ServerPool
 
@@ -79,6 +82,40 @@
     assert harness.upstream.open_connections == 3
 
 
+@pytest.mark.parametrize("shortage", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM])
+@pytest.mark.parametrize("wrapped", [False, True])
+def test_connect_that_fails_by_a_shortage_here_does_not_blame_the_server(
+    shortage: int, wrapped: bool
+) -> None:
+    """Guards against servers that are ejected because this process has no descriptor left."""
+    harness = PooledUpstreamHarness()
+    idle = harness.open_connection("a", idle=True)
+    error = OSError(shortage, "planted")
+    if wrapped:
+        # As anyio raises it.
+        error, cause = OSError("all connection attempts failed"), error
+        error.__cause__ = cause
+    assert harness.upstream.connect_failure(error) is AttemptEnd.NO_CONNECTION_AVAILABLE
+    assert idle is not None and idle.closed
+
+
+@pytest.mark.parametrize(
+    ("error", "end"),
+    [
+        (ConnectionRefusedError(errno.ECONNREFUSED, "planted"), AttemptEnd.CONNECT_REFUSED),
+        (LookupError("planted"), AttemptEnd.CONNECT_REFUSED),
+        (TimeoutError(), AttemptEnd.CONNECT_TIMEOUT),
+    ],
+)
+def test_connect_that_fails_at_the_server_closes_no_idle_connection(
+    error: OSError | LookupError, end: AttemptEnd
+) -> None:
+    harness = PooledUpstreamHarness()
+    idle = harness.open_connection("a", idle=True)
+    assert harness.upstream.connect_failure(error) is end
+    assert idle is not None and not idle.closed
+
+
 def test_longest_idle_connection_is_closed_to_open_another_at_the_total_limit() -> None:
     harness = PooledUpstreamHarness()
     oldest = harness.open_connection("a", idle=True)
