End connections to replicas that send or accept nothing for too long

A client that never closes held a descriptor of a replica for good.

Cause: rpc.serve has no deadline for a request or for the client's reading. Origin and relays wrapped their streams themselves, replicas did not.

Change: rpc.serve wraps every stream with the deadlines that origin and relays had (60 s, 10 s); the wrapper moves to net/wrapped_streams.py. Replicas log client_stalled.

--- a/gullmount/consensus/log_events.py
+++ b/gullmount/consensus/log_events.py
@@ -18,6 +18,7 @@
     GROUP_ADOPTED = "replica_group_adopted"
     PEER_ANSWER_INVALID = "peer_answer_invalid"
     REQUEST_INVALID = "request_invalid"
+    CLIENT_STALLED = "client_stalled"
     REGISTER_WATCH_ENDED = "register_watch_ended"
     GROUP_REGISTER_INVALID = "group_register_invalid"
 
--- a/gullmount/consensus/server.py
+++ b/gullmount/consensus/server.py
@@ -55,6 +55,7 @@
 
     Attributes:
         invalid_requests: Number of invalid requests rejected so far.
+        stalled_clients: Number of connections ended so far because the client accepted no data.
         handler_errors: Unexpected errors that occurred while requests were answered.
     """
 
@@ -74,11 +75,17 @@
         self.group_changes = group_changes
         self.log = log
         self.invalid_requests = 0
+        self.stalled_clients = 0
         self.handler_errors = HandlerErrors(log)
 
     async def serve(self, stream: Stream) -> None:
         """Answer the requests of one connection."""
-        await serve(stream, self.answer, MAX_REQUEST_BYTES, self.handler_errors)
+        await serve(stream, self.answer, MAX_REQUEST_BYTES, self.handler_errors, self.note_stalled)
+
+    def note_stalled(self) -> None:
+        """Count and log a connection that ends because its client accepted no data for too long."""
+        self.stalled_clients += 1
+        self.log(LogEvent.CLIENT_STALLED, count=self.stalled_clients)
 
     async def answer(self, request: Request, stream: Stream) -> Response:
         """Answer one request. An expected error is answered with its own status and a message."""
--- a/gullmount/distribution/streams.py
+++ b/gullmount/distribution/streams.py
@@ -1,87 +1,28 @@
-"""Stream wrappers that time out on a stalled peer or count bytes."""
+"""Stream wrappers that count bytes, and the kernel's limits on a subscriber's stream."""
 
 from __future__ import annotations
 
 import socket
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
 from anyio.abc import SocketAttribute
 
 from gullmount.distribution.update_receiver import SubscriberCounters
-from gullmount.net import DatagramSocket, ShortageCallback, Stream, StreamNet
-
-# Data is written in chunks of this size; each chunk has its own timeout.
-WRITE_CHUNK_BYTES = 65536
-# Time within which the network must accept a chunk.
-WRITE_TIMEOUT_SECONDS = 10.0
-# A connection without requests is closed after this time without a byte.
-READ_TIMEOUT_SECONDS = 60.0
+from gullmount.net import (
+    RECEIVE_BYTES,
+    DatagramSocket,
+    ShortageCallback,
+    Stream,
+    StreamNet,
+    WrappedStream,
+)
+
 # Size of the kernel's send buffer for a subscriber. It is small, as data that waits there becomes outdated.
 SEND_BUFFER_BYTES = 65536
 # Time that sent bytes may stay unacknowledged. Without it, a lost connection is detected after 15 minutes.
 UNACKNOWLEDGED_TIMEOUT_MS = 15_000
-RECEIVE_BYTES = 65536
-
-
-class WrappedStream(Stream):
-    """A stream that passes every call on to an inner stream."""
-
-    def __init__(self, inner: Stream) -> None:
-        """Wrap `inner`."""
-        self.inner = inner
-        # Only in-memory streams have a source.
-        self.source = getattr(inner, "source", None)
-
-    async def receive(self, max_bytes: int = RECEIVE_BYTES) -> bytes:
-        """Receive from the inner stream."""
-        return await self.inner.receive(max_bytes)
-
-    async def send(self, item: bytes) -> None:
-        """Send on the inner stream."""
-        await self.inner.send(item)
-
-    async def send_eof(self) -> None:
-        """End the sending side of the inner stream."""
-        await self.inner.send_eof()
-
-    async def aclose(self) -> None:
-        """Close the inner stream."""
-        await self.inner.aclose()
-
-    @property
-    def extra_attributes(self) -> Mapping[Any, Callable[[], Any]]:
-        """The attributes of the inner stream."""
-        return self.inner.extra_attributes
-
-
-class DeadlineStream(WrappedStream):
-    """A stream that breaks if the peer accepts no data, or sends none, for too long."""
-
-    def __init__(self, inner: Stream, on_stalled: Callable[[], None]) -> None:
-        """Wrap `inner`; `on_stalled` is called when a write times out."""
-        super().__init__(inner)
-        self.on_stalled = on_stalled
-
-    async def receive(self, max_bytes: int = RECEIVE_BYTES) -> bytes:
-        """Receive the next bytes; raise anyio.BrokenResourceError after READ_TIMEOUT_SECONDS without any."""
-        try:
-            with anyio.fail_after(READ_TIMEOUT_SECONDS):
-                return await self.inner.receive(max_bytes)
-        except TimeoutError:
-            raise anyio.BrokenResourceError from None
-
-    async def send(self, item: bytes) -> None:
-        """Send in chunks; raise anyio.BrokenResourceError if one takes longer than WRITE_TIMEOUT_SECONDS."""
-        view = memoryview(item)
-        for start in range(0, len(item), WRITE_CHUNK_BYTES):
-            try:
-                with anyio.fail_after(WRITE_TIMEOUT_SECONDS):
-                    await self.inner.send(bytes(view[start : start + WRITE_CHUNK_BYTES]))
-            except TimeoutError:
-                self.on_stalled()
-                raise anyio.BrokenResourceError from None
 
 
 def limit_kernel_buffers(stream: Stream) -> None:
--- a/gullmount/distribution/subscriber_server.py
+++ b/gullmount/distribution/subscriber_server.py
@@ -23,7 +23,7 @@
 )
 from gullmount.distribution.log_events import LogEvent
 from gullmount.distribution.messages import SubscribeRequest
-from gullmount.distribution.streams import DeadlineStream, limit_kernel_buffers
+from gullmount.distribution.streams import limit_kernel_buffers
 from gullmount.distribution.subscription_client import Log
 from gullmount.distribution.subscriptions import Subscriptions
 from gullmount.distribution.update_stream import UpdateStream
@@ -130,8 +130,9 @@
         limit_kernel_buffers(stream)
         self.open_connections += 1
         try:
-            deadline_stream = DeadlineStream(stream, self.note_stalled)
-            await serve(deadline_stream, self.handle_request, self.max_body_bytes, self.handler_errors)
+            await serve(
+                stream, self.handle_request, self.max_body_bytes, self.handler_errors, self.note_stalled
+            )
         finally:
             self.open_connections -= 1
 
--- a/gullmount/net/__init__.py
+++ b/gullmount/net/__init__.py
@@ -23,12 +23,15 @@
     stream_peer_has_ended,
     stream_seconds_since_data,
 )
+from gullmount.net.wrapped_streams import RECEIVE_BYTES, DeadlineStream, WrappedStream
 
 __all__ = [
+    "RECEIVE_BYTES",
     "RESOURCE_SHORTAGE_ERRNOS",
     "STREAM_ERRORS",
     "AddressError",
     "DatagramSocket",
+    "DeadlineStream",
     "HandlerErrors",
     "MemoryNet",
     "Net",
@@ -38,6 +41,7 @@
     "TcpNet",
     "Transport",
     "TransportProtocol",
+    "WrappedStream",
     "abort",
     "connect_errno",
     "count_open_descriptors",
--- a/gullmount/rpc/server.py
+++ b/gullmount/rpc/server.py
@@ -13,7 +13,7 @@
 import anyio
 import h11
 
-from gullmount.net import STREAM_ERRORS, HandlerErrors, Stream, abort, ends_process
+from gullmount.net import STREAM_ERRORS, DeadlineStream, HandlerErrors, Stream, abort, ends_process
 from gullmount.rpc.target import RequestTarget, parse_target
 
 # Default limit for the body of a request.
@@ -112,9 +112,13 @@
     handler: Handler,
     max_body_bytes: int = MAX_BODY_BYTES,
     errors: HandlerErrors | None = None,
+    on_stalled: Callable[[], None] | None = None,
 ) -> None:
     """Serve the requests of one connection until it ends.
 
+    The connection ends if its client sends no byte of a request, or accepts none of a response, for as long
+    as `DeadlineStream` allows; `on_stalled` is called in the latter case.
+
     A request that is not HTTP gets status 400. A body longer than `max_body_bytes` ends the connection.
 
     An error that the handler or its `lines` raise ends this connection only. The client gets status 500 if no
@@ -125,14 +129,14 @@
     errors = errors or HandlerErrors()
     try:
         with errors.contained("request"):
-            await _serve_requests(http, stream, handler, max_body_bytes)
+            await _serve_requests(http, DeadlineStream(stream, on_stalled), handler, max_body_bytes)
     finally:
         with anyio.CancelScope(shield=True):
             await anyio.aclose_forcefully(stream)
 
 
 async def _serve_requests(
-    http: h11.Connection, stream: Stream, handler: Handler, max_body_bytes: int
+    http: h11.Connection, stream: DeadlineStream, handler: Handler, max_body_bytes: int
 ) -> None:
     """Serve one request after another until the connection ends."""
     try:
@@ -145,7 +149,9 @@
             await _reject(http, stream, Response(BAD_REQUEST, f"not HTTP/1.1: {error}\n".encode()))
 
 
-async def _serve_request(http: h11.Connection, stream: Stream, handler: Handler, max_body_bytes: int) -> bool:
+async def _serve_request(
+    http: h11.Connection, stream: DeadlineStream, handler: Handler, max_body_bytes: int
+) -> bool:
     """Serve one request; return whether another may follow."""
     request = await _read_request(http, stream, max_body_bytes)
     if request is None:
@@ -164,10 +170,12 @@
                 await close()
 
 
-async def _handle(http: h11.Connection, stream: Stream, handler: Handler, request: Request) -> Response:
+async def _handle(
+    http: h11.Connection, stream: DeadlineStream, handler: Handler, request: Request
+) -> Response:
     """Return the handler's response. If the handler raises, send status 500 and re-raise its error."""
     try:
-        return await handler(request, stream)
+        return await handler(request, stream.inner)
     except CONNECTION_ENDED_ERRORS:
         raise
     except Exception as error:
@@ -177,7 +185,7 @@
         raise
 
 
-async def _reject(http: h11.Connection, stream: Stream, response: Response) -> None:
+async def _reject(http: h11.Connection, stream: DeadlineStream, response: Response) -> None:
     """Send a response that closes the connection, unless another response has begun."""
     if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
@@ -189,7 +197,7 @@
     await stream.send(data)
 
 
-async def _read_request(http: h11.Connection, stream: Stream, max_body_bytes: int) -> Request | None:
+async def _read_request(http: h11.Connection, stream: DeadlineStream, max_body_bytes: int) -> Request | None:
     head = await read_event(http, stream)
     if not isinstance(head, h11.Request):
         return None
@@ -204,10 +212,12 @@
     return Request(head.method.decode(), head.target.decode("latin-1"), headers, body)
 
 
-async def _send_response(http: h11.Connection, stream: Stream, request: Request, response: Response) -> bool:
+async def _send_response(
+    http: h11.Connection, stream: DeadlineStream, request: Request, response: Response
+) -> bool:
     """Send the response, or cause its injected failure; return whether another request may follow."""
     if response.failure == InjectedFailure.RESET:
-        await abort(stream)
+        await abort(stream.inner)
         return False
     if response.failure == InjectedFailure.SILENCE:
         await anyio.sleep(INJECTED_SILENCE_SECONDS)
@@ -224,7 +234,11 @@
 
 
 async def _send_lines(
-    http: h11.Connection, stream: Stream, request: Request, response: Response, lines: AsyncIterator[bytes]
+    http: h11.Connection,
+    stream: DeadlineStream,
+    request: Request,
+    response: Response,
+    lines: AsyncIterator[bytes],
 ) -> None:
     headers = list(response.headers.items())
     await stream.send(http.send(h11.Response(status_code=response.status, headers=headers)) or b"")
--- a/tests/rpc/test_server.py
+++ b/tests/rpc/test_server.py
@@ -8,16 +8,19 @@
 
 import anyio
 import pytest
+import trio.testing
 
 from gullmount.errors import ProcessFatalError
 from gullmount.net import STREAM_ERRORS, HandlerErrors, Stream, TcpNet
 from gullmount.net.memory import connected_pair
+from gullmount.net.wrapped_streams import READ_TIMEOUT_SECONDS, WRITE_TIMEOUT_SECONDS
 from gullmount.rpc import Request, Response, serve
 from gullmount.rpc.errors import InvalidTargetError
 from gullmount.rpc.target import RequestTarget, parse_target
 from tests.support.fault_block import reserve_loopback_block
 
 VALID_REQUEST = b"GET /good HTTP/1.1\r\nhost: x\r\n\r\n"
+WATCH_REQUEST = VALID_REQUEST.replace(b"/good", b"/watch")
 Handler = Callable[[Request, Stream], Awaitable[Response]]
 
 
@@ -146,3 +149,32 @@
 def test_unparsable_target_raises_invalid_target_error(target: str) -> None:
     with pytest.raises(InvalidTargetError):
         parse_target(target)
+
+
+async def endless_lines() -> AsyncIterator[bytes]:
+    while True:
+        yield b"x" * 10_000 + b"\n"
+
+
+@pytest.mark.parametrize(
+    ("sent", "is_stalled"),
+    [(b"", False), (b"GET /good HT", False), (VALID_REQUEST, False), (WATCH_REQUEST, True)],
+    ids=["silent", "half a request", "idle", "stops reading"],
+)
+def test_connection_of_a_client_that_never_closes_ends(sent: bytes, is_stalled: bool) -> None:
+    """Guards against connections without a deadline, which use up the descriptors of a replica."""
+    stalled_calls: list[None] = []
+
+    async def answer(request: Request, _stream: Stream) -> Response:
+        return Response(200, lines=endless_lines()) if request.target == "/watch" else Response(200)
+
+    async def main() -> None:
+        client, server = connected_pair()
+        await client.send(sent)
+        with anyio.fail_after(2 * max(READ_TIMEOUT_SECONDS, WRITE_TIMEOUT_SECONDS)):
+            await serve(server, answer, on_stalled=lambda: stalled_calls.append(None))
+        assert server.closed
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    anyio.run(main, backend="trio", backend_options={"clock": clock})
+    assert len(stalled_calls) == is_stalled
