Answer requests that come during a shutdown before the process can be killed

Change: from SIGTERM on the deadline of new requests ends 0.4 s before the earliest kill, when unread ones are rejected too. The time for reading counts from SIGTERM, also if accepting takes longer.

--- a/gullmount/proxy/listener.py
+++ b/gullmount/proxy/listener.py
@@ -144,17 +144,22 @@
 
         Args:
             accept_seconds: how long connections are still accepted.
-            read_seconds: how long requests that have begun to arrive may still be completed after that.
+            read_seconds: how long requests that have begun to arrive may still be completed after that. Every
+                request that arrives during the shutdown gets its response by then; with 0 there is no limit.
         """
+        stop_at = self.runtime.now() + accept_seconds + read_seconds if read_seconds else None
         self.runtime.log_event(LogEvent.SHUTDOWN_STARTED, open_requests=len(self.runtime.exchanges))
         self.runtime.shutting_down = True
+        if stop_at is not None:
+            self.runtime.latest_deadline = stop_at
         await anyio.sleep(accept_seconds)
         self.accept_scope.cancel()
         if self.listening.is_set():
             # The kernel accepts connections until the listening socket is closed; they are still served.
             await self.closed.wait()
         self.runtime.refuses_requests = True
-        await self.wait_for_unread_requests(read_seconds)
+        if stop_at is not None:
+            await self.wait_for_unread_requests(stop_at)
         for connection in list(self.connections):
             connection.reject_unread_request()
         await self.runtime.wait_until_idle()
@@ -163,10 +168,9 @@
             await anyio.sleep(SHUTDOWN_POLL_INTERVAL_SECONDS)
         self.runtime.log_event(LogEvent.SHUTDOWN_COMPLETE)
 
-    async def wait_for_unread_requests(self, read_seconds: float) -> None:
-        """Wait up to `read_seconds` until no connection is left, closing those that stay idle."""
-        deadline = self.runtime.now() + read_seconds
-        while read_seconds and self.connections and self.runtime.now() < deadline:
+    async def wait_for_unread_requests(self, deadline: float) -> None:
+        """Wait until no connection is left, at most until `deadline`, closing those that stay idle."""
+        while self.connections and self.runtime.now() < deadline:
             idle_cutoff = self.runtime.now() - SHUTDOWN_IDLE_SECONDS
             for connection in list(self.connections):
                 if connection.idle and not connection.busy and connection.idle_since < idle_cutoff:
--- a/gullmount/proxy/runtime.py
+++ b/gullmount/proxy/runtime.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 from random import Random
 
 import anyio
@@ -53,6 +54,8 @@
     Attributes:
         shutting_down: Whether each response ends its connection.
         refuses_requests: Whether new connections are no longer served.
+        latest_deadline: Time at which a request that arrives from now on has its response at the latest; it
+            is infinite unless a shutdown has to end by then.
         upstream: The connections to servers.
         random: Source of jitter for the clients of other services. The router has its own.
         stalls: Detects the times in which the event loop did not run.
@@ -78,6 +81,7 @@
         self.random = Random(settings.seed)
         self.shutting_down = False
         self.refuses_requests = False
+        self.latest_deadline = inf
         self.exchanges: dict[str, RequestExchange] = {}
         self.became_idle = anyio.Event()
         self.request_count = 0
@@ -172,12 +176,13 @@
         Args:
             head: Head of the request.
             body: Body of the request, or its first part if the rest is streamed.
-            arrived_at: Time of arrival in seconds of the runtime's clock; the timeout starts here.
+            arrived_at: Time of arrival in seconds of the runtime's clock; the timeout starts here. It ends at
+                `latest_deadline` at the latest.
             metadata: What the adapter read from the head.
         """
         self.request_count += 1
         request_id = f"{self.request_id_prefix}-{self.request_count}"
-        deadline = arrived_at + metadata.timeout
+        deadline = min(arrived_at + metadata.timeout, self.latest_deadline)
         exchange = RequestExchange(request_id, head, body, deadline, metadata.client_request_id, arrived_at)
         exchange.streams_response = metadata.streams_response
         return exchange
--- a/tests/proxy/test_listener_shutdown.py
+++ b/tests/proxy/test_listener_shutdown.py
@@ -41,6 +41,9 @@
 )
 
 AT_MOST_ONCE_ROUTE = "submit-exam"
+SHORT_READ_SECONDS = 0.5
+# From the start of the shutdown to the kill at the earliest, in proportion: the margin is 0.4 s.
+LATE_REQUEST_TIMEOUT_SECONDS = SHORT_READ_SECONDS + 0.4
 CONNECTION_CLOSE_HEADER = b"connection: close\r\n"
 
 
@@ -154,6 +157,39 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize(
+    ("route", "statuses"),
+    [
+        # The client may send it again.
+        ("load-item", (b"HTTP/1.1 503",)),
+        # It may have run.
+        (AT_MOST_ONCE_ROUTE, (b"HTTP/1.1 502", b"HTTP/1.1 504")),
+    ],
+)
+def test_late_request_at_a_hanging_server_gets_its_response_before_shutdown_ends(
+    tmp_path: Path, route: str, statuses: tuple[bytes, ...]
+) -> None:
+    """Guards against waiting for the request's own deadline, which may lie after SIGKILL."""
+
+    async def scenario() -> None:
+        async with proxy_harness(tmp_path) as harness:
+            late_client = client()
+            await wait_until(lambda: harness.proxy.listener.connections)
+
+            async def send_late_request() -> None:
+                late_client.sendall(request_bytes("a1", route, body=b"x" * (route == AT_MOST_ONCE_ROUTE)))
+                server_connection = await accept(harness.server_listener)
+                await receive_message(server_connection)
+                response = await receive_until_eof(late_client)
+                assert response.startswith(statuses)
+                assert CONNECTION_CLOSE_HEADER in response
+
+            with anyio.fail_after(LATE_REQUEST_TIMEOUT_SECONDS):
+                await stop_listener(harness, send_late_request, read_seconds=SHORT_READ_SECONDS)
+
+    run_scenario(scenario)
+
+
 def test_pipelined_request_during_shutdown_gets_no_partial_response(tmp_path: Path) -> None:
     """The first response announces that the connection closes (RFC 9112, section 9.6).
 
