Rest connections longer once a server has sent more than its answer

Cause: a connection is reused 30 ms after an answer. Behind a link whose delay varies by 0.2 s, the second copy of an answer comes after the next request was written and is taken for its answer; the connection stays shifted by one.

Change: for 300 s after such data, connections to all servers rest for as long as the last answer took, 0.6 s at least; both pools. Without such data nothing changes.

--- a/gullmount/platform/reporting.py
+++ b/gullmount/platform/reporting.py
@@ -57,6 +57,7 @@
             client_connections=len(self.listener.connections),
             closing_connections=len(self.listener.closing),
             server_connections=runtime.upstream.open_connections,
+            stray_responses_total=runtime.upstream.stray_data_count,
             servers=len(runtime.router.endpoints.servers),
             servers_ready=runtime.router.endpoints.ready_count,
             endpoint_list_revision=discovery.endpoints.revision,
--- a/gullmount/proxy/buffered_upstream.py
+++ b/gullmount/proxy/buffered_upstream.py
@@ -37,6 +37,7 @@
 
     Attributes:
         carried_attempt: Whether an attempt has been sent on the connection.
+        last_response_seconds: Time from the last request on the connection to the end of its response.
         idle_since: Time in seconds of the upstream's clock. Before the first attempt, the time at which
             connecting began: the server may count its idle timeout from the first packet.
     """
@@ -49,6 +50,7 @@
         self.parser: ResponseParser | None = None
         self.attempt: Attempt | None = None
         self.carried_attempt = False
+        self.last_response_seconds = 0.0
         self.closed = False
         self.idle_since = upstream.clock()
 
@@ -59,6 +61,7 @@
         response.
         """
         if self.attempt is None or self.parser is None:
+            self.upstream.stray_data_received()
             self.close()
             return
         self.attempt.response_started = True
@@ -94,6 +97,7 @@
     Attributes:
         timeout: Seconds from the start of the attempt, connecting included.
         started_at: Time in seconds of the upstream's clock.
+        sent_at: Time at which the request was written; until then it equals `started_at`.
         deadline: Unused, because no response is relayed before it is complete.
         response_started: Whether any byte of a response has been received.
     """
@@ -111,7 +115,7 @@
         self.attempt_number = attempt_number
         self.server_id = server_id
         self.timeout = timeout
-        self.started_at = upstream.clock()
+        self.started_at = self.sent_at = upstream.clock()
         self.deadline = inf
         self.connection: Connection | None = None
         self.response: Response | None = None
@@ -124,11 +128,12 @@
     def send_request(self, connection: Connection) -> None:
         """Write the request to an open connection."""
         self.connection = connection
+        self.sent_at = self.upstream.clock()
         connection.attempt = self
         connection.carried_attempt = True
         head = self.exchange.head
         connection.parser = ResponseParser(MAX_RESPONSE_HEAD_BYTES, head.method)
-        time_left = self.timeout - (self.upstream.clock() - self.started_at)
+        time_left = self.timeout - (self.sent_at - self.started_at)
         headers = self.upstream.adapter.upstream_headers(self.exchange, time_left)
         if self.exchange.body or head.method not in BODYLESS_METHODS:
             headers.append((b"content-length", b"%d" % len(self.exchange.body)))
@@ -164,6 +169,7 @@
         self.response.body = b"".join(self.body_parts)
         connection, self.connection = self.connection, None
         connection.attempt = None
+        connection.last_response_seconds = self.upstream.clock() - self.sent_at
         self.upstream.release_connection(connection, parser)
         self.end(AttemptEnd.RESPONSE_COMPLETE)
 
@@ -274,15 +280,15 @@
         """Take the newest idle connection that may be reused; return None if there is none.
 
         Taking the newest one lets the others expire. Late bytes that follow a response, or bytes unread
-        at the socket, would be taken for the next response: a connection is reused only after the reuse delay
-        and if its socket has no unread data. A connection past the idle timeout is closed, because the server
+        at the socket, would be taken for the next response: a connection is reused only once it is rested and
+        if its socket has no unread data. A connection past the idle timeout is closed, because the server
         may close it while the request is in transit.
         """
         now = self.clock()
         for index in reversed(range(len(pool.idle))):
             connection = pool.idle[index]
             idle_time = now - connection.idle_since
-            if idle_time < self.limits.reuse_delay and connection.carried_attempt:
+            if connection.carried_attempt and not self.is_rested(connection):
                 continue
             assert connection.transport is not None
             if idle_time < self.limits.idle_timeout and connection.transport.is_idle:
@@ -331,7 +337,10 @@
 
     def release_connection(self, connection: Connection, parser: ResponseParser) -> None:
         """Return the connection to its pool if it can be reused, else close it."""
-        reusable = not connection.closed and not parser.parts and parser.error is None and parser.keep_alive
+        has_stray_data = bool(parser.parts) or parser.error is not None
+        if has_stray_data:
+            self.stray_data_received()
+        reusable = not connection.closed and not has_stray_data and parser.keep_alive
         if reusable and connection.transport is not None and not connection.transport.unsent_bytes:
             connection.idle_since = self.clock()
             self.keep_idle(connection)
--- a/gullmount/proxy/streaming_upstream.py
+++ b/gullmount/proxy/streaming_upstream.py
@@ -40,6 +40,7 @@
 
     Attributes:
         request_written: Whether the request in flight has been written completely.
+        last_response_seconds: Time from the last request on the connection to the end of its response.
         idle_since: Time in seconds of the upstream's clock.
     """
 
@@ -49,6 +50,7 @@
         self.incoming = ReadAheadStream(stream)
         self.parser = ResponseParser(MAX_RESPONSE_HEAD_BYTES, "GET")
         self.request_written = False
+        self.last_response_seconds = 0.0
         self.scope = anyio.CancelScope()
         self.idle_since = now
 
@@ -133,11 +135,14 @@
         because the server may close it while the request is in transit.
         """
         idle_cutoff = self.clock() - self.limits.idle_timeout
-        while pool.idle:
-            connection = pool.idle.pop()
-            if connection.is_idle and connection.idle_since > idle_cutoff:
+        for connection in reversed(list(pool.idle)):
+            if not connection.is_idle or connection.idle_since <= idle_cutoff:
+                if connection.incoming.chunks:
+                    self.stray_data_received()
+                self.close_idle(pool, connection)
+            elif self.is_rested(connection):
+                pool.idle.remove(connection)
                 return connection
-            connection.close()
         return None
 
     async def acquire_connection(self, server_id: str) -> Connection | AttemptEnd:
@@ -180,6 +185,8 @@
     def release_connection(self, server_id: str, connection: Connection) -> None:
         """Return the connection to its pool if it can be reused, else close it."""
         parser = connection.parser
+        if parser.parts or connection.incoming.chunks:
+            self.stray_data_received()
         reusable = self.pools.get(server_id) is connection.pool and connection.is_idle and not parser.parts
         if connection.request_written and parser.keep_alive and parser.error is None and reusable:
             connection.idle_since = self.clock()
@@ -238,12 +245,14 @@
                 progress.end = AttemptEnd.SERVER_WITHDRAWN
                 return
             try:
-                time_left = scope.deadline - anyio.current_time()
+                sent_at = self.clock()
+                time_left = scope.deadline - sent_at
                 await self.write_request(exchange, connection, server_id, time_left, progress)
             except STREAM_ERRORS:
                 progress.end = AttemptEnd.WRITE_FAILED if progress.write_begun else AttemptEnd.CONNECT_REFUSED
                 return
             progress.end = await self.read_response(exchange, attempt_number, connection, progress)
+            connection.last_response_seconds = self.clock() - sent_at
             complete = progress.end is AttemptEnd.RESPONSE_COMPLETE
         except ProtocolError as error:
             progress.end = protocol_error_end(error)
--- a/gullmount/proxy/upstream_pool.py
+++ b/gullmount/proxy/upstream_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 from typing import Generic, Protocol, TypeVar
 
 import anyio
@@ -13,6 +14,11 @@
 
 # An idle connection may stay open this much longer than its timeout.
 SWEEP_INTERVAL_SECONDS = 1.0
+# After stray response data, connections rest longer before they are reused, for this long.
+STRAY_DATA_MEMORY_SECONDS = 300.0
+# How long they rest then at least: the delay of a path between zones may grow by this much from one moment to
+# the next, between a response and the stray data behind it.
+MIN_REST_AFTER_STRAY_DATA_SECONDS = 0.6
 # Twice the maximum that common servers send.
 MAX_RESPONSE_HEAD_BYTES = 65536
 
@@ -22,9 +28,12 @@
 
     Attributes:
         idle_since: Time in seconds of the upstream's clock.
+        last_response_seconds: Time from the last request on the connection to the end of its response; 0 if
+            none was sent.
     """
 
     idle_since: float
+    last_response_seconds: float
 
     def close(self) -> None:
         """Close the connection and abort the attempt in flight on it."""
@@ -55,6 +64,8 @@
         clock: Returns the current time in seconds.
         pools: The pool of each server, by server id.
         open_connections: Number of connections to all servers that are open or being opened.
+        stray_data_count: Number of connections closed because data followed a response.
+        stray_data_expected_until: Until when servers are taken to send more such data, because one did.
     """
 
     def __init__(self, adapter: ProtocolAdapter, clock: Callable[[], float]) -> None:
@@ -63,6 +74,28 @@
         self.clock = clock
         self.pools: dict[str, ServerPool[ConnectionT]] = {}
         self.open_connections = 0
+        self.stray_data_count = 0
+        self.stray_data_expected_until = -inf
+
+    def stray_data_received(self) -> None:
+        """Record that a server sent data that belongs to no request, such as a second copy of a response."""
+        self.stray_data_count += 1
+        self.stray_data_expected_until = self.clock() + STRAY_DATA_MEMORY_SECONDS
+
+    def is_rested(self, connection: ConnectionT) -> bool:
+        """Return whether no stray data can be in transit any more, so that the connection may be reused.
+
+        Such data would be taken for the next response. It follows the response within milliseconds, but a
+        path whose delay varies may hold it up. Once a server has sent such data, connections rest for as long
+        as the last response took, which includes both ways of the path, or longer.
+        """
+        rest_seconds = self.limits.reuse_delay
+        now = self.clock()
+        if now < self.stray_data_expected_until:
+            rest_seconds = max(
+                rest_seconds, connection.last_response_seconds, MIN_REST_AFTER_STRAY_DATA_SECONDS
+            )
+        return now >= connection.idle_since + rest_seconds
 
     def pool_for(self, server_id: str) -> ServerPool[ConnectionT]:
         """Return the pool of the server; create it if there is none."""
@@ -74,10 +107,13 @@
     def reserve_connection(self, pool: ServerPool[ConnectionT]) -> bool:
         """Reserve a new connection if the limits allow it, and return whether they do.
 
-        At the limit for all servers, the connection that has been idle for longest is closed first.
+        At the limit for all servers, the connection that has been idle for longest is closed first. At the
+        limit for this server, one that is not rested yet is.
         """
         if self.open_connections >= self.limits.max_connections:
             self.close_oldest_idle()
+        if pool.open_count >= self.limits.max_connections_per_server and pool.idle:
+            self.close_idle(pool, pool.idle[0])
         if (
             pool.open_count >= self.limits.max_connections_per_server
             or self.open_connections >= self.limits.max_connections
--- a/tests/proxy/test_buffered_upstream.py
+++ b/tests/proxy/test_buffered_upstream.py
@@ -34,6 +34,8 @@
 
 UNEXPECTED_RESPONSE = OK.replace(b"\r\n\r\nok", b"\r\n\r\nNO")
 AT_MOST_ONCE_ROUTE = "submit-exam"
+# By how much the delay of a path between zones grows at most when a slow link begins.
+PATH_DELAY_GROWTH_SECONDS = 0.4
 
 
 def disable_reuse_delay(running_harness: ProxyHarness) -> None:
@@ -77,6 +79,33 @@
     run_scenario(scenario)
 
 
+def test_stray_response_that_a_slow_path_holds_up_is_not_taken_as_the_next_response(tmp_path: Path) -> None:
+    """Guards against another's answer: the path becomes slow between a response and its second copy."""
+
+    async def scenario() -> None:
+        async with proxy_harness(tmp_path) as harness:
+            client_socket, first_server_socket = await serve_first_request(harness)
+            # On the usual path the copy comes while the connection is idle.
+            first_server_socket.sendall(OK)
+            await wait_until(lambda: not harness.runtime.upstream.open_connections)
+            client_socket.sendall(request_bytes("a2"))
+            server_socket = await accept(harness.server_listener)
+            await receive_message(server_socket)
+            server_socket.sendall(OK)
+            assert (await receive_message(client_socket)).endswith(b"\r\n\r\nok")
+            await anyio.sleep(PATH_DELAY_GROWTH_SECONDS)
+            client_socket.sendall(request_bytes("a3"))
+            await wait_until(lambda: is_readable(server_socket) or is_readable(harness.server_listener))
+            server_socket.sendall(UNEXPECTED_RESPONSE)
+            new_server_socket = await accept(harness.server_listener)
+            assert b"request-id: a3" in await receive_message(new_server_socket)
+            new_server_socket.sendall(OK)
+            assert (await receive_message(client_socket)).endswith(b"\r\n\r\nok")
+            assert harness.runtime.upstream.stray_data_count > 1
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize(
     "server_event",
     [lambda server_socket: server_socket.sendall(UNEXPECTED_RESPONSE), reset, socket.socket.close],
--- a/tests/proxy/test_upstream_pool.py
+++ b/tests/proxy/test_upstream_pool.py
@@ -12,7 +12,12 @@
 
 from gullmount.proxy.outcomes import AttemptEnd
 from gullmount.proxy.protocol_adapter import ProtocolAdapter, UpstreamLimits
-from gullmount.proxy.upstream_pool import PooledUpstream, ServerPool
+from gullmount.proxy.upstream_pool import (
+    MIN_REST_AFTER_STRAY_DATA_SECONDS,
+    STRAY_DATA_MEMORY_SECONDS,
+    PooledUpstream,
+    ServerPool,
+)
 
 LIMITS = UpstreamLimits(
     connect_timeout=1.0,
@@ -34,6 +39,7 @@
     def __init__(self, upstream: PooledUpstream[FakeConnection], pool: ServerPool[FakeConnection]) -> None:
         self.upstream, self.pool = upstream, pool
         self.idle_since = upstream.clock()
+        self.last_response_seconds = 0.0
         self.closed = False
 
     def close(self) -> None:
@@ -116,6 +122,32 @@
     assert idle is not None and not idle.closed
 
 
+def test_idle_connection_makes_room_for_a_new_one_at_the_limit_of_its_server() -> None:
+    """It is idle and not reused because it has to rest after stray data."""
+    harness = PooledUpstreamHarness()
+    idle, busy = harness.open_connection("a", idle=True), harness.open_connection("a")
+    assert harness.open_connection("a") is not None
+    assert idle is not None and idle.closed and busy is not None and not busy.closed
+
+
+def test_connections_rest_longer_for_a_while_after_stray_data() -> None:
+    harness = PooledUpstreamHarness()
+    connection = harness.open_connection("a", idle=True)
+    assert connection is not None and harness.upstream.is_rested(connection)
+    harness.upstream.stray_data_received()
+    assert not harness.upstream.is_rested(connection)
+    harness.now += MIN_REST_AFTER_STRAY_DATA_SECONDS + 0.001
+    assert harness.upstream.is_rested(connection)
+    # The path is slower than that.
+    connection.last_response_seconds = 2 * MIN_REST_AFTER_STRAY_DATA_SECONDS
+    assert not harness.upstream.is_rested(connection)
+    harness.now += MIN_REST_AFTER_STRAY_DATA_SECONDS + 0.001
+    assert harness.upstream.is_rested(connection)
+    harness.now += STRAY_DATA_MEMORY_SECONDS
+    connection.idle_since = harness.now
+    assert harness.upstream.is_rested(connection)
+
+
 def test_longest_idle_connection_is_closed_to_open_another_at_the_total_limit() -> None:
     harness = PooledUpstreamHarness()
     oldest = harness.open_connection("a", idle=True)
