Let the backoff of discovery calls go by what they cost and how many make them

Cause: one count of failures for all kinds, one limit of 24 s for calls that cost discovery nothing or that one instance makes alone, and up to 4.5 s after a refused connection whatever the fleet's size.

Change: a count for each kind; limits by kind and fleet size; a call that breaks after 1.5 s counts as refused, as discovery resets what waited too long. The large fleet that is refused waits as before.

--- a/gullmount/decisions/endpoint_freshness.py
+++ b/gullmount/decisions/endpoint_freshness.py
@@ -15,13 +15,15 @@
 - So every call is a watch, and a call that succeeded is continued at once.
 - The first call of a watch asks for a wait that is longer than a call may stay in the queue.
 - Calls that all instances would make at the same time are spread.
-- The backoff after each failed call doubles, with jitter.
+- The backoff after each failed call of one kind doubles, with jitter, up to a limit that grows with what such
+  a call costs discovery and with the number of instances that make it.
 
 All times are in seconds on one monotonic clock.
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from enum import Enum
 from math import inf
@@ -58,14 +60,23 @@
 REFUSED_BACKOFF_SECONDS = 6.0
 # Mean backoff after a refused call in a fleet of one instance.
 SINGLE_INSTANCE_REFUSED_BACKOFF_SECONDS = 1.5
-# Mean backoff after a broken or silent call, which took none of discovery's time.
+# Limit of the mean backoff after calls that waited in discovery's queue, in a large fleet.
+MAX_QUEUED_BACKOFF_SECONDS = 24.0
+# Mean backoff after a broken or silent call.
 BROKEN_BACKOFF_SECONDS = 0.5
-# Limit of the mean backoff after refused, broken and silent calls.
-MAX_BACKOFF_SECONDS = 24.0
-# Mean backoff after a call without a connection; doubles with each failed call.
+# Limit of the mean backoff after silent calls in a fleet of one instance.
+SINGLE_INSTANCE_MAX_SILENT_BACKOFF_SECONDS = 0.75
+# A call that broke after this time may have waited in discovery's queue.
+QUEUED_CALL_SECONDS = 1.5
+# Mean backoff after a call without a connection.
 UNREACHABLE_BACKOFF_SECONDS = 0.5
-# Limit of that backoff. It is short as each such call proves again that nothing can be notified.
-MAX_UNREACHABLE_BACKOFF_SECONDS = 3.0
+# Limit of that backoff for each instance of the fleet, and its least value. Where lists are pushed, what
+# discovery has counts as notified at its return, so the next call has to come within the grace of a drain. A
+# fleet of tens must not call at once, as discovery serves about a dozen calls a second.
+MAX_UNREACHABLE_BACKOFF_PER_INSTANCE_SECONDS = 0.03
+MIN_MAX_UNREACHABLE_BACKOFF_SECONDS = 0.1
+# Limit of the mean backoff after calls that cost discovery no time: without a connection, or broken at once.
+MAX_UNQUEUED_BACKOFF_SECONDS = 3.0
 MAX_BACKOFF_DOUBLINGS = 10
 # Bounds of the random factor of each backoff.
 BACKOFF_JITTER_FACTORS = (0.5, 1.5)
@@ -114,14 +125,15 @@
 
     def __init__(self, instance_count: int, random: Random, now: float) -> None:
         self.random = random
+        self.instance_count = instance_count
         self.spread_factor = 1.0 - 1.0 / max(1, instance_count)
         """Scales random spreads: 0 for a single instance, which needs none, and near 1 for a large fleet."""
         self.synced_at: float | None = None
         """When the list was last known to be complete; None before the first successful call."""
         self.stale_at = now + NOTIFIED_AFTER_SECONDS
         """From when on the list may not be used for routing."""
-        self.consecutive_failures = 0
-        """Failed calls in a row; a continued watch that breaks off or falls silent does not count."""
+        self.consecutive_failures: Counter[CallFailure] = Counter()
+        """Failed calls since the last success, by kind; the end of a continued watch does not count."""
         self.suspect = True
         """Whether the last call failed, or none has succeeded yet."""
         self.next_call = self._first_call(now + self._random_spread(START_SPREAD_SECONDS))
@@ -147,7 +159,7 @@
         """
         self.synced_at = now if response_started_at is None else min(now, response_started_at)
         self.stale_at = self.synced_at + NOTIFIED_AFTER_SECONDS
-        self.consecutive_failures = 0
+        self.consecutive_failures.clear()
         self.suspect = False
         wait = self.random.uniform(*CONTINUED_CALL_WAIT_SECONDS)
         not_before = max(now, began_at + MIN_CALL_INTERVAL_SECONDS)
@@ -164,22 +176,22 @@
         self.suspect = True
         if failure is CallFailure.UNREACHABLE:
             self.stale_at = max(self.stale_at, began_at + NOTIFIED_AFTER_SECONDS)
-            self._schedule_after_failure(now, UNREACHABLE_BACKOFF_SECONDS, MAX_UNREACHABLE_BACKOFF_SECONDS)
-            return
-        if self.synced_at is None:
+        elif self.synced_at is None:
             # Without a successful call the list may be of any age.
             self.stale_at = min(self.stale_at, now)
-        if failure is CallFailure.REFUSED:
-            self._schedule_after_failure(now, self._refused_backoff(), MAX_BACKOFF_SECONDS)
-        elif self.next_call.continues_watch:
+        if failure in (CallFailure.BROKEN, CallFailure.SILENT) and self.next_call.continues_watch:
             self.next_call = self._first_call(now + self._random_spread(RESTART_SPREAD_SECONDS))
-        else:
-            self._schedule_after_failure(now, BROKEN_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS)
+            return
+        if failure is CallFailure.BROKEN and now - began_at >= QUEUED_CALL_SECONDS:
+            # Discovery resets calls that waited too long, as it refuses them.
+            failure = CallFailure.REFUSED
+        self.consecutive_failures[failure] += 1
+        self.next_call = self._first_call(now + self._random_backoff(failure))
 
     def discovery_address_changed(self, now: float) -> None:
         """Shorten the list's validity and schedule the first call to discovery's new address."""
         self.stale_at = min(self.stale_at, now + NOTIFIED_AFTER_ADDRESS_CHANGE_SECONDS)
-        self.consecutive_failures = 0
+        self.consecutive_failures.clear()
         self.suspect = True
         self.next_call = self._first_call(now + self._random_spread(ADDRESS_CHANGE_SPREAD_SECONDS))
 
@@ -187,17 +199,35 @@
         timeout = FIRST_CALL_WAIT_SECONDS + FIRST_CALL_SILENCE_SLACK_SECONDS
         return PlannedCall(not_before, FIRST_CALL_WAIT_SECONDS, timeout, continues_watch=False)
 
-    def _schedule_after_failure(self, now: float, initial_backoff: float, max_backoff: float) -> None:
-        self.consecutive_failures += 1
-        doublings = min(self.consecutive_failures - 1, MAX_BACKOFF_DOUBLINGS)
-        backoff = min(max_backoff, initial_backoff * 2.0**doublings) * self.random.uniform(
-            *BACKOFF_JITTER_FACTORS
+    def _random_backoff(self, failure: CallFailure) -> float:
+        """Return the backoff after the failures so far of this kind."""
+        initial_backoff, max_backoff = self._backoff_range(failure)
+        doublings = min(self.consecutive_failures[failure] - 1, MAX_BACKOFF_DOUBLINGS)
+        mean_backoff = min(max_backoff, initial_backoff * 2.0**doublings)
+        return mean_backoff * self.random.uniform(*BACKOFF_JITTER_FACTORS)
+
+    def _backoff_range(self, failure: CallFailure) -> tuple[float, float]:
+        """Return the mean backoff after the first failure of this kind, and its limit."""
+        if failure is CallFailure.UNREACHABLE:
+            fleet_limit = MAX_UNREACHABLE_BACKOFF_PER_INSTANCE_SECONDS * self.instance_count
+            max_backoff = max(MIN_MAX_UNREACHABLE_BACKOFF_SECONDS, fleet_limit)
+            return UNREACHABLE_BACKOFF_SECONDS, min(max_backoff, MAX_UNQUEUED_BACKOFF_SECONDS)
+        if failure is CallFailure.BROKEN:
+            return BROKEN_BACKOFF_SECONDS, MAX_UNQUEUED_BACKOFF_SECONDS
+        if failure is CallFailure.SILENT:
+            max_backoff = self._by_fleet_size(
+                SINGLE_INSTANCE_MAX_SILENT_BACKOFF_SECONDS, MAX_QUEUED_BACKOFF_SECONDS
+            )
+            return BROKEN_BACKOFF_SECONDS, max_backoff
+        initial_backoff = self._by_fleet_size(
+            SINGLE_INSTANCE_REFUSED_BACKOFF_SECONDS, REFUSED_BACKOFF_SECONDS
         )
-        self.next_call = self._first_call(now + backoff)
+        max_backoff = self._by_fleet_size(SINGLE_INSTANCE_REFUSED_BACKOFF_SECONDS, MAX_QUEUED_BACKOFF_SECONDS)
+        return initial_backoff, max_backoff
 
-    def _refused_backoff(self) -> float:
-        fleet_extra = REFUSED_BACKOFF_SECONDS - SINGLE_INSTANCE_REFUSED_BACKOFF_SECONDS
-        return SINGLE_INSTANCE_REFUSED_BACKOFF_SECONDS + fleet_extra * self.spread_factor
+    def _by_fleet_size(self, single_instance: float, large_fleet: float) -> float:
+        """Return a value between those of one instance, which crowds nobody out, and of a large fleet."""
+        return single_instance + (large_fleet - single_instance) * self.spread_factor
 
     def _random_spread(self, max_seconds: float) -> float:
         return max_seconds * self.spread_factor * self.random.random()
--- a/tests/decisions/test_endpoint_freshness.py
+++ b/tests/decisions/test_endpoint_freshness.py
@@ -175,3 +175,22 @@
             freshness.call_failed(failure, began, now)
         delays.append(freshness.next_call.not_before - recovered_at)
     assert max(delays) <= NOTIFIED_AFTER and sum(delays) / len(delays) <= NOTIFIED_AFTER / 3
+
+
+@pytest.mark.parametrize(("instances", "max_delay"), [(1, 0.25), (4, 0.25), (210, 4.5)])
+def test_discovery_that_was_down_is_called_within_the_grace_of_a_drain_by_a_small_fleet(
+    instances: int, max_delay: float
+) -> None:
+    """Guards against requests to a server that began to drain while discovery was down.
+
+    Where lists are pushed, the drain counts as notified when discovery is back, with a grace of 0.3 s, of
+    which the call itself takes a part. A large fleet must spread its calls.
+    """
+    recovered_at, delays = 30.0, []
+    for seed in range(300):
+        freshness, now = EndpointFreshness(instances, Random(seed), 0.0), 0.0
+        while freshness.next_call.not_before < recovered_at:
+            now = freshness.next_call.not_before
+            freshness.call_failed(CallFailure.UNREACHABLE, now, now)
+        delays.append(freshness.next_call.not_before - recovered_at)
+    assert max(delays) <= max_delay
