--- a/gullmount/net/acceptor.py
+++ b/gullmount/net/acceptor.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -16,6 +15,7 @@
 
 from gullmount.net.descriptors import RESOURCE_SHORTAGE_ERRNOS
 from gullmount.net.handler_errors import HandlerErrors
+from gullmount.net.socket_state import is_readable
 from gullmount.net.types import ShortageCallback
 
 # Delay before accepting again after an error.
@@ -138,13 +138,3 @@
     listener = socket.create_server((host, port), family=family, backlog=backlog)
     listener.setblocking(False)
     return listener
-
-
-def is_readable(descriptor: int) -> bool:
-    """Return whether unread bytes, an end of stream or a new connection is pending on the descriptor.
-
-    It uses poll, which accepts descriptors of any number.
-    """
-    poll = select.poll()
-    poll.register(descriptor, select.POLLIN)
-    return bool(poll.poll(0))
--- a/gullmount/net/arrival.py
+++ b/gullmount/net/socket_state.py
@@ -51,8 +51,18 @@
     """Return whether the peer has closed or reset the connection, even if unread data precedes the end."""
     if descriptor < 0 or not hasattr(select, "POLLRDHUP"):
         return False
+    return has_event(descriptor, select.POLLRDHUP)
+
+
+def is_readable(descriptor: int) -> bool:
+    """Return whether unread bytes, an end of stream or a new connection is pending on the descriptor."""
+    return has_event(descriptor, select.POLLIN)
+
+
+def has_event(descriptor: int, event: int) -> bool:
+    """Return whether the event, or an error, is pending; poll accepts descriptors of any number."""
     poll = select.poll()
-    poll.register(descriptor, select.POLLRDHUP)
+    poll.register(descriptor, event)
     return bool(poll.poll(0))
 
 
--- a/gullmount/net/tcp.py
+++ b/gullmount/net/tcp.py
@@ -10,9 +10,14 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream, UDPSocket
 
-from gullmount.net.acceptor import Acceptor, is_readable, listening_socket
-from gullmount.net.arrival import has_ended, seconds_since_data, unacknowledged_bytes
+from gullmount.net.acceptor import Acceptor, listening_socket
 from gullmount.net.handler_errors import HandlerErrors
+from gullmount.net.socket_state import (
+    has_ended,
+    is_readable,
+    seconds_since_data,
+    unacknowledged_bytes,
+)
 from gullmount.net.types import (
     DatagramSocket,
     ShortageCallback,
--- a/gullmount/net/types.py
+++ b/gullmount/net/types.py
@@ -11,7 +11,7 @@
 from anyio.abc import ByteStream, SocketAttribute
 
 from gullmount.errors import GullmountError
-from gullmount.net.arrival import has_ended, seconds_since_data
+from gullmount.net.socket_state import has_ended, seconds_since_data
 
 Stream = ByteStream
 # Called with the error when a connection can't be accepted because descriptors or memory are short.
--- a/tests/proxy/test_event_loop_stalls.py
+++ b/tests/proxy/test_event_loop_stalls.py
@@ -14,7 +14,7 @@
 import pytest
 
 from gullmount.net import HandlerErrors
-from gullmount.net.arrival import has_ended, seconds_since_data
+from gullmount.net.socket_state import has_ended, seconds_since_data
 from gullmount.proxy.event_loop_stalls import (
     HEARTBEAT_SECONDS,
     KERNEL_TIMESTAMP_RESOLUTION_SECONDS,
--- a/tests/support/pause_sweep.py
+++ b/tests/support/pause_sweep.py
@@ -31,7 +31,7 @@
 from random import Random
 from typing import Any
 
-from gullmount.net.arrival import seconds_since_data
+from gullmount.net.socket_state import seconds_since_data
 from tests.support.fuzzed_programs import lines_script
 from tests.support.platform_world import (
     HOST,
