--- a/gullmount/proxy/listener.py
+++ b/gullmount/proxy/listener.py
@@ -105,6 +105,7 @@
         for connection in self.idle_connections():
             connection.close()
             if connection.closed:
+                self.connection_closing(connection)
                 return True
         return False
 
