Pause test: leave out an attempt that a long pause held up before its writing

Change: such an attempt is left out of the checks for lost, told and drain: request sent at most 20 ms before the pause, attempt received within 20 ms of its end, pause longer than 0.17 s. What waits in the kernel during the pause, what is sent earlier and what begins later is checked as before; eight cases of the check say so.

--- a/tests/platform/test_pauses.py
+++ b/tests/platform/test_pauses.py
@@ -10,6 +10,7 @@
     ClientRequest,
     Observations,
     ObservedAttempt,
+    Pause,
     check_attempts_after_close,
     check_exposure,
     check_server_timeouts,
@@ -55,6 +56,43 @@
     assert not check_server_timeouts(observe_one_attempt(10.4, 0.1))
 
 
+@pytest.mark.parametrize(
+    ("sent_before_pause", "received_after_pause", "is_checked"),
+    [
+        # As traced: sent 0.7 ms before the pause, decided on, and written as the process went on.
+        (0.0007, -0.001, False),
+        (0.015, 0.015, False),
+        # Waited in the kernel during the pause: the process has to date it and see that its client has left.
+        (-0.01, 0.0, True),
+        (-1.0, 0.0, True),
+        # The process had the time to write it before the pause, or begins it some time after.
+        (0.03, 0.0, True),
+        (0.0007, 0.03, True),
+        (0.0007, -1.0, True),
+    ],
+)
+def test_only_an_attempt_that_a_pause_held_up_before_its_writing_is_left_out(
+    sent_before_pause: float, received_after_pause: float, is_checked: bool
+) -> None:
+    pause = Pause(10.0, 13.0)
+    attempt_at = pause.ended_at + received_after_pause
+    observations = observe_one_attempt(attempt_at, 0.5, closed_at=10.5)
+    observations.requests["a"].sent_at = pause.began_at - sent_before_pause
+    observations.traffic.sends = [(attempt_at, "s-1", "a")]
+    observations.pauses = [pause]
+    assert bool(check_attempts_after_close(observations)) is is_checked
+    assert bool(check_server_timeouts(observations)) is is_checked
+    assert bool(observations.checked_traffic().sends) is is_checked
+
+
+def test_attempt_that_a_short_pause_held_up_is_checked() -> None:
+    """The users' page asks processes to allow for 0.15 s."""
+    observations = observe_one_attempt(10.15, 0.5, closed_at=10.01)
+    observations.requests["a"].sent_at = 9.9993
+    observations.pauses = [Pause(10.0, 10.15)]
+    assert check_attempts_after_close(observations)
+
+
 def test_check_exposure_finds_attempts_over_the_limit_of_a_candidate() -> None:
     observations = Observations(candidates={"s-1"})
     observations.requests = {f"r{number}": ClientRequest(10.0 + number / 10, 0.5) for number in range(20)}
