--- a/tests/distribution/test_update_stream.py
+++ b/tests/distribution/test_update_stream.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from gullmount.distribution.streams import WRITE_TIMEOUT_SECONDS
+from gullmount.net.wrapped_streams import WRITE_TIMEOUT_SECONDS
 from tests.support.distribution_fleet import SUBSCRIBE_BODY, endpoint_changes, fleet
 from tests.support.distribution_scene import RELAYS, Scene, run_scene
 
