Take idle connections in one place for both upstream pools

Need: since both pools let connections rest, take_idle_connection stood twice with small variations, and carried_attempt said what last_response_seconds says as well.

Change: PooledUpstream.take_idle_connection serves both; a connection without a response is None there and needs no rest. The order is that of the buffered pool, rest first, which spares the kernel a question.

--- a/gullmount/proxy/buffered_upstream.py
+++ b/gullmount/proxy/buffered_upstream.py
@@ -36,8 +36,8 @@
     """One connection to a server.
 
     Attributes:
-        carried_attempt: Whether an attempt has been sent on the connection.
-        last_response_seconds: Time from the last request on the connection to the end of its response.
+        last_response_seconds: Time from the last request on the connection to the end of its response; None
+            if no request was sent on it.
         idle_since: Time in seconds of the upstream's clock. Before the first attempt, the time at which
             connecting began: the server may count its idle timeout from the first packet.
     """
@@ -49,11 +49,15 @@
         self.transport: Transport | None = None
         self.parser: ResponseParser | None = None
         self.attempt: Attempt | None = None
-        self.carried_attempt = False
-        self.last_response_seconds = 0.0
+        self.last_response_seconds: float | None = None
         self.closed = False
         self.idle_since = upstream.clock()
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection is open and has no unread data. Reading this queries the kernel."""
+        return self.transport is not None and self.transport.is_idle
+
     def data_received(self, data: bytes) -> None:
         """Read bytes of the response.
 
@@ -130,7 +134,6 @@
         self.connection = connection
         self.sent_at = self.upstream.clock()
         connection.attempt = self
-        connection.carried_attempt = True
         head = self.exchange.head
         connection.parser = ResponseParser(MAX_RESPONSE_HEAD_BYTES, head.method)
         time_left = self.timeout - (self.sent_at - self.started_at)
@@ -276,27 +279,6 @@
                 0.0, lambda: attempt.end(AttemptEnd.NO_CONNECTION_AVAILABLE)
             )
 
-    def take_idle_connection(self, pool: ServerPool[Connection]) -> Connection | None:
-        """Take the newest idle connection that may be reused; return None if there is none.
-
-        Taking the newest one lets the others expire. Late bytes that follow a response, or bytes unread
-        at the socket, would be taken for the next response: a connection is reused only once it is rested and
-        if its socket has no unread data. A connection past the idle timeout is closed, because the server
-        may close it while the request is in transit.
-        """
-        now = self.clock()
-        for index in reversed(range(len(pool.idle))):
-            connection = pool.idle[index]
-            idle_time = now - connection.idle_since
-            if connection.carried_attempt and not self.is_rested(connection):
-                continue
-            assert connection.transport is not None
-            if idle_time < self.limits.idle_timeout and connection.transport.is_idle:
-                del pool.idle[index]
-                return connection
-            connection.close()
-        return None
-
     async def connect(self, attempt: Attempt, connection: Connection) -> None:
         """Open the connection and send the attempt on it, if the attempt is still allowed.
 
--- a/gullmount/proxy/streaming_upstream.py
+++ b/gullmount/proxy/streaming_upstream.py
@@ -40,7 +40,8 @@
 
     Attributes:
         request_written: Whether the request in flight has been written completely.
-        last_response_seconds: Time from the last request on the connection to the end of its response.
+        last_response_seconds: Time from the last request on the connection to the end of its response; None
+            if no request was sent on it.
         idle_since: Time in seconds of the upstream's clock.
     """
 
@@ -50,7 +51,7 @@
         self.incoming = ReadAheadStream(stream)
         self.parser = ResponseParser(MAX_RESPONSE_HEAD_BYTES, "GET")
         self.request_written = False
-        self.last_response_seconds = 0.0
+        self.last_response_seconds: float | None = None
         self.scope = anyio.CancelScope()
         self.idle_since = now
 
@@ -128,22 +129,11 @@
 
     # Connections.
 
-    def take_idle_connection(self, pool: ServerPool[Connection]) -> Connection | None:
-        """Take the newest idle connection that may be reused; return None if there is none.
-
-        Taking the newest one lets the others expire. A connection past the idle timeout is closed,
-        because the server may close it while the request is in transit.
-        """
-        idle_cutoff = self.clock() - self.limits.idle_timeout
-        for connection in reversed(list(pool.idle)):
-            if not connection.is_idle or connection.idle_since <= idle_cutoff:
-                if connection.incoming.chunks:
-                    self.stray_data_received()
-                self.close_idle(pool, connection)
-            elif self.is_rested(connection):
-                pool.idle.remove(connection)
-                return connection
-        return None
+    def close_unusable(self, pool: ServerPool[Connection], connection: Connection) -> None:
+        """Close an idle connection that has expired, has ended or has unread data, which is stray data."""
+        if connection.incoming.chunks:
+            self.stray_data_received()
+        super().close_unusable(pool, connection)
 
     async def acquire_connection(self, server_id: str) -> Connection | AttemptEnd:
         """Take an idle connection or open one; return the end of the attempt if neither succeeds."""
--- a/gullmount/proxy/upstream_pool.py
+++ b/gullmount/proxy/upstream_pool.py
@@ -28,12 +28,16 @@
 
     Attributes:
         idle_since: Time in seconds of the upstream's clock.
-        last_response_seconds: Time from the last request on the connection to the end of its response; 0 if
-            none was sent.
+        last_response_seconds: Time from the last request on the connection to the end of its response; None
+            if no request was sent on it.
     """
 
     idle_since: float
-    last_response_seconds: float
+    last_response_seconds: float | None
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection is open and has no unread data. Reading this may query the kernel."""
 
     def close(self) -> None:
         """Close the connection and abort the attempt in flight on it."""
@@ -89,6 +93,8 @@
         path whose delay varies may hold it up. Once a server has sent such data, connections rest for as long
         as the last response took, which includes both ways of the path, or longer.
         """
+        if connection.last_response_seconds is None:
+            return True
         rest_seconds = self.limits.reuse_delay
         now = self.clock()
         if now < self.stray_data_expected_until:
@@ -97,6 +103,28 @@
             )
         return now >= connection.idle_since + rest_seconds
 
+    def take_idle_connection(self, pool: ServerPool[ConnectionT]) -> ConnectionT | None:
+        """Take the newest idle connection that may be reused; return None if there is none.
+
+        Taking the newest one lets the others expire. A connection that is not rested stays in the pool. One
+        past the idle timeout is closed, because the server may close it while the request is in transit, and
+        so is one with unread data, which would be taken for the next response.
+        """
+        idle_cutoff = self.clock() - self.limits.idle_timeout
+        for index in reversed(range(len(pool.idle))):
+            connection = pool.idle[index]
+            if not self.is_rested(connection):
+                continue
+            if connection.idle_since > idle_cutoff and connection.is_idle:
+                del pool.idle[index]
+                return connection
+            self.close_unusable(pool, connection)
+        return None
+
+    def close_unusable(self, pool: ServerPool[ConnectionT], connection: ConnectionT) -> None:
+        """Close an idle connection that has expired, has ended or has unread data."""
+        self.close_idle(pool, connection)
+
     def pool_for(self, server_id: str) -> ServerPool[ConnectionT]:
         """Return the pool of the server; create it if there is none."""
         pool = self.pools.get(server_id)
--- a/tests/proxy/test_upstream_pool.py
+++ b/tests/proxy/test_upstream_pool.py
@@ -39,7 +39,8 @@
     def __init__(self, upstream: PooledUpstream[FakeConnection], pool: ServerPool[FakeConnection]) -> None:
         self.upstream, self.pool = upstream, pool
         self.idle_since = upstream.clock()
-        self.last_response_seconds = 0.0
+        self.last_response_seconds: float | None = 0.0
+        self.is_idle = True
         self.closed = False
 
     def close(self) -> None:
