Ask the kernel about a closing connection only where the time does not decide

Change: has_to_linger looks at the time first, unacknowledged_bytes asks for the connection's state only if bytes are out; StreamingDownstream reports its closing itself, as BufferedDownstream does, in place of a special case in the eviction; max_upstream_connections is one function; stop_at is infinite without a limit. No change of behaviour, as write_timeout is longer than linger_timeout.

--- a/gullmount/net/socket_state.py
+++ b/gullmount/net/socket_state.py
@@ -71,8 +71,7 @@
 
     An end of stream that was sent does not count.
     """
-    info = read_tcp_info(descriptor)
-    if info is None:
+    if descriptor < 0:
         return 0
     try:
         answer = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(struct.calcsize("i")))
@@ -80,4 +79,10 @@
         return 0
     count: int = struct.unpack("i", answer)[0]
     # The kernel counts an unacknowledged end of stream as one byte.
-    return count - (info[TCP_STATE_OFFSET] in END_UNACKNOWLEDGED_STATES)
+    return count - 1 if count and end_is_unacknowledged(descriptor) else count
+
+
+def end_is_unacknowledged(descriptor: int) -> bool:
+    """Return whether the end of the stream was sent and the peer has not acknowledged it."""
+    info = read_tcp_info(descriptor)
+    return info is not None and info[TCP_STATE_OFFSET] in END_UNACKNOWLEDGED_STATES
--- a/gullmount/platform/http_adapter.py
+++ b/gullmount/platform/http_adapter.py
@@ -250,8 +250,8 @@
 def downstream_limits(descriptor_limit: int) -> DownstreamLimits:
     """Return the limits on client connections; `descriptor_limit` is the number of file descriptors."""
     max_connections = int(descriptor_limit * DOWNSTREAM_DESCRIPTOR_SHARE)
-    max_upstream_connections = int(descriptor_limit * UPSTREAM_DESCRIPTOR_SHARE)
-    remaining = descriptor_limit - max_connections - max_upstream_connections - RESERVED_DESCRIPTORS
+    max_server_connections = max_upstream_connections(descriptor_limit)
+    remaining = descriptor_limit - max_connections - max_server_connections - RESERVED_DESCRIPTORS
     return DownstreamLimits(
         max_head_bytes=MAX_HEAD_BYTES,
         max_body_bytes=MAX_BODY_BYTES,
@@ -267,6 +267,11 @@
     )
 
 
+def max_upstream_connections(descriptor_limit: int) -> int:
+    """Return the limit on connections to all servers together."""
+    return int(descriptor_limit * UPSTREAM_DESCRIPTOR_SHARE)
+
+
 def upstream_limits(socket_settings: SocketSettings, descriptor_limit: int) -> UpstreamLimits:
     """Return the limits on server connections; `descriptor_limit` is the number of file descriptors."""
     server_idle_timeout = socket_settings.connection_idle_timeout
@@ -275,6 +280,6 @@
         idle_timeout=max(server_idle_timeout - SERVER_IDLE_MARGIN_SECONDS, server_idle_timeout / 2),
         reuse_delay=CONNECTION_REUSE_DELAY_SECONDS,
         max_connections_per_server=MAX_CONNECTIONS_PER_SERVER,
-        max_connections=int(descriptor_limit * UPSTREAM_DESCRIPTOR_SHARE),
+        max_connections=max_upstream_connections(descriptor_limit),
         max_buffered_response_bytes=MAX_BODY_BYTES,
     )
--- a/gullmount/proxy/buffered_downstream.py
+++ b/gullmount/proxy/buffered_downstream.py
@@ -119,15 +119,17 @@
             return False
         return not self.transport.unacknowledged_bytes
 
-    @property
-    def linger_deadline(self) -> float:
-        """The time until which received bytes are discarded, because a TCP reset could overtake the response.
+    def has_to_linger(self, now: float) -> bool:
+        """Return whether received bytes are still discarded, because a TCP reset could overtake the response.
 
-        A client that has not acknowledged its response gets as long as it may take to accept one.
+        A client that has not acknowledged its response gets as long as it may take to accept one. The kernel
+        is queried only if the time does not decide.
         """
-        if self.transport.unacknowledged_bytes:
-            return self.last_write_at + self.limits.write_timeout
-        return self.last_write_at + self.limits.linger_timeout
+        if now < self.last_write_at + self.limits.linger_timeout:
+            return True
+        if now >= self.last_write_at + self.limits.write_timeout:
+            return False
+        return self.transport.unacknowledged_bytes > 0
 
     # Called by the transport.
 
@@ -174,7 +176,7 @@
             if now >= self.unsent_since + self.limits.write_timeout:
                 self.abort()
         elif self.closed:
-            if now >= self.linger_deadline:
+            if not self.has_to_linger(now):
                 self.transport.close()
         elif now >= self.deadline:
             if self.idle:
@@ -193,7 +195,7 @@
             return
         self.closed = True
         self.on_closing(self)
-        if self.transport.unsent_bytes or self.runtime.now() < self.linger_deadline:
+        if self.transport.unsent_bytes or self.has_to_linger(self.runtime.now()):
             self.transport.write_eof()
         else:
             self.transport.close()
--- a/gullmount/proxy/listener.py
+++ b/gullmount/proxy/listener.py
@@ -105,7 +105,6 @@
         for connection in self.idle_connections():
             connection.close()
             if connection.closed:
-                self.connection_closing(connection)
                 return True
         return False
 
@@ -148,18 +147,17 @@
             read_seconds: how long requests that have begun to arrive may still be completed after that. Every
                 request that arrives during the shutdown gets its response by then; with 0 there is no limit.
         """
-        stop_at = self.runtime.now() + accept_seconds + read_seconds if read_seconds else None
+        stop_at = self.runtime.now() + accept_seconds + read_seconds if read_seconds else inf
         self.runtime.log_event(LogEvent.SHUTDOWN_STARTED, open_requests=len(self.runtime.exchanges))
         self.runtime.shutting_down = True
-        if stop_at is not None:
-            self.runtime.latest_deadline = stop_at
+        self.runtime.latest_deadline = stop_at
         await anyio.sleep(accept_seconds)
         self.accept_scope.cancel()
         if self.listening.is_set():
             # The kernel accepts connections until the listening socket is closed; they are still served.
             await self.closed.wait()
         self.runtime.refuses_requests = True
-        if stop_at is not None:
+        if read_seconds:
             await self.wait_for_unread_requests(stop_at)
         for connection in list(self.connections):
             connection.reject_unread_request()
@@ -199,7 +197,7 @@
         if self.is_full or self.runtime.refuses_requests:
             await anyio.aclose_forcefully(stream)
             return
-        connection = StreamingDownstream(self.runtime, stream)
+        connection = StreamingDownstream(self.runtime, stream, self.connection_closing)
         self.connections[connection] = None
         try:
             with self.runtime.handler_errors.contained("client connection"):
--- a/gullmount/proxy/streaming_downstream.py
+++ b/gullmount/proxy/streaming_downstream.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 
@@ -59,8 +59,12 @@
         request_complete: whether the request in flight has been read completely.
     """
 
-    def __init__(self, runtime: ProxyRuntime, stream: Stream) -> None:
+    def __init__(
+        self, runtime: ProxyRuntime, stream: Stream, on_closing: Callable[[StreamingDownstream], None]
+    ) -> None:
+        """Create the connection; `on_closing` is called when `closed` is set."""
         self.runtime = runtime
+        self.on_closing = on_closing
         self.limits = runtime.adapter.downstream_limits
         self.stream = stream
         self.incoming = ReadAheadStream(stream, self.arrival_time)
@@ -91,6 +95,7 @@
         """Close the connection, which must be idle, unless a request has begun to arrive."""
         if not self.incoming.chunks:
             self.closed = True
+            self.on_closing(self)
             self.connection_scope.cancel()
 
     async def run(self) -> None:
