Test set-ups that stood several times have one place each

Change: slow_client and serve_first_request in tests/support/race_scenes.py, tests/support/descriptors.py, one running_proxy for both tests of the shortage, RecordingStream on WrappedStream. Assertions, bounds and data are the same but for two request ids.

--- a/tests/net/test_accept_shortage.py
+++ b/tests/net/test_accept_shortage.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-import resource
 import socket
-from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
 import pytest
 
 from gullmount.net import HandlerErrors, Stream, TcpNet, Transport
+from tests.support.descriptors import no_free_descriptor
 from tests.support.fault_block import reserve_loopback_block
 
 ADDRESS = f"{reserve_loopback_block()}.0.2:8400"
@@ -50,17 +49,6 @@
     await net.serve(ADDRESS, echo, started)
 
 
-@contextmanager
-def no_free_descriptor() -> Iterator[None]:
-    """Let every call that needs a new descriptor fail with EMFILE."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (1, hard))
-    try:
-        yield
-    finally:
-        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
-
-
 def client() -> socket.socket:
     host, port = ADDRESS.split(":")
     connection = socket.create_connection((host, int(port)))
--- a/tests/platform/test_descriptor_shortage.py
+++ b/tests/platform/test_descriptor_shortage.py
@@ -5,11 +5,11 @@
 import asyncio
 import json
 import os
-import resource
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+from tests.support.descriptors import set_descriptor_limit
 from tests.support.platform_world import (
     ProxyProcess,
     StubPlatform,
@@ -29,11 +29,23 @@
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
-def set_descriptor_limit(pid: int, limit: int) -> int:
-    """Set the descriptor limit of a running process and return the previous limit."""
-    previous_limit, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
-    resource.prlimit(pid, resource.RLIMIT_NOFILE, (limit, hard))
-    return previous_limit
+@asynccontextmanager
+async def running_proxy(folder: Path) -> AsyncIterator[ProxyProcess]:
+    """Run the proxy with servers, discovery and release controller."""
+    world = StubPlatform()
+    await world.serve_platform()
+    for number in range(SERVER_COUNT):
+        await world.add_server(8120 + number, fixed_response_server(OK))
+    proxy = ProxyProcess(
+        folder, configuration(known={"revision": 1, "complete": True, "members": world.members})
+    )
+    await proxy.start()
+    try:
+        await asyncio.sleep(0.5)
+        yield proxy
+    finally:
+        await proxy.stop()
+        await world.close()
 
 
 def test_connections_wait_for_a_free_descriptor_and_then_get_a_response(tmp_path: Path) -> None:
@@ -44,15 +56,7 @@
         return await proxy.request(request_bytes(f"r{number}", timeout_ms="2000"), request_timeout)
 
     async def scenario() -> None:
-        world = StubPlatform()
-        await world.serve_platform()
-        for number in range(SERVER_COUNT):
-            await world.add_server(8120 + number, fixed_response_server(OK))
-        endpoint_list = {"revision": 1, "complete": True, "members": world.members}
-        proxy = ProxyProcess(tmp_path, configuration(known=endpoint_list))
-        await proxy.start()
-        try:
-            await asyncio.sleep(0.5)
+        async with running_proxy(tmp_path) as proxy:
             assert (await send_request(proxy, 0)).startswith(b"HTTP/1.1 200")
             pid = proxy.process.pid
             previous_limit = set_descriptor_limit(pid, len(os.listdir(f"/proc/{pid}/fd")))
@@ -67,30 +71,10 @@
             # A request accepted while no server connection can be opened is rejected with a 503 response.
             assert all(task.result().startswith((b"HTTP/1.1 200", b"HTTP/1.1 503")) for task in completed)
             assert (await send_request(proxy, CLIENT_COUNT)).startswith(b"HTTP/1.1 200")
-        finally:
-            await proxy.stop()
-            await world.close()
 
     asyncio.run(scenario())
 
 
-@asynccontextmanager
-async def running_proxy(folder: Path, world: StubPlatform) -> AsyncIterator[ProxyProcess]:
-    await world.serve_platform()
-    for number in range(SERVER_COUNT):
-        await world.add_server(8120 + number, fixed_response_server(OK))
-    proxy = ProxyProcess(
-        folder, configuration(known={"revision": 1, "complete": True, "members": world.members})
-    )
-    await proxy.start()
-    try:
-        await asyncio.sleep(0.5)
-        yield proxy
-    finally:
-        await proxy.stop()
-        await world.close()
-
-
 async def keep_connections(proxy: ProxyProcess, count: int) -> list[asyncio.StreamWriter]:
     """Open connections on which a request was served and that their clients keep."""
     writers: list[asyncio.StreamWriter] = []
@@ -107,7 +91,7 @@
     """Guards against a shortage that lasts as long as idle connections: room was made after accepts alone."""
 
     async def scenario() -> None:
-        async with running_proxy(tmp_path, StubPlatform()) as proxy:
+        async with running_proxy(tmp_path) as proxy:
             kept = await keep_connections(proxy, KEPT_CONNECTIONS)
             pid = proxy.process.pid
             set_descriptor_limit(pid, len(os.listdir(f"/proc/{pid}/fd")))
--- a/tests/proxy/test_buffered_downstream.py
+++ b/tests/proxy/test_buffered_downstream.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from gullmount.proxy.buffered_downstream import MAX_LINGER_BYTES, MAX_UNSENT_RESPONSE_BYTES
-from tests.support.platform_world import HOST, OK
+from tests.support.platform_world import OK
 from tests.support.race_scenes import (
     accept,
     assert_serves_request,
@@ -26,6 +26,7 @@
     request_bytes,
     reset,
     run_scenario,
+    slow_client,
     wait_until,
 )
 
@@ -219,9 +220,7 @@
 
     async def scenario() -> None:
         async with proxy_harness(tmp_path) as harness:
-            client_socket = socket.socket()
-            client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
-            client_socket.connect((HOST, 8100))
+            client_socket = slow_client()
             client_socket.setblocking(False)
             await wait_until(lambda: harness.proxy.listener.connections)
             (connection,) = harness.proxy.listener.connections
--- a/tests/proxy/test_buffered_upstream.py
+++ b/tests/proxy/test_buffered_upstream.py
@@ -29,6 +29,7 @@
     request_bytes,
     reset,
     run_scenario,
+    serve_first_request,
     wait_until,
 )
 
@@ -45,16 +46,6 @@
     )
 
 
-async def serve_first_request(running_harness: ProxyHarness) -> tuple[socket.socket, socket.socket]:
-    """Return the sockets of the client and the server, after one request was served on both."""
-    client_socket = client(request_bytes("a1"))
-    server_socket = await accept(running_harness.server_listener)
-    await receive_message(server_socket)
-    server_socket.sendall(OK)
-    assert (await receive_message(client_socket)).endswith(b"\r\n\r\nok")
-    return client_socket, server_socket
-
-
 @pytest.mark.parametrize(
     "extra_bytes", [UNEXPECTED_RESPONSE, b"noise", b"HTTP/1.1 103 Early Hints\r\n\r\n" + UNEXPECTED_RESPONSE]
 )
--- a/tests/proxy/test_listener_descriptors.py
+++ b/tests/proxy/test_listener_descriptors.py
@@ -17,9 +17,8 @@
 from gullmount.net import count_open_descriptors
 from gullmount.proxy.listener import SWEEP_INTERVAL_SECONDS
 from gullmount.proxy.protocol_adapter import CONNECTION_REUSE_DELAY_SECONDS
-from tests.support.platform_world import HOST, OK
+from tests.support.platform_world import OK
 from tests.support.race_scenes import (
-    PROXY_PORT,
     ProxyHarness,
     accept,
     assert_serves_request,
@@ -31,6 +30,8 @@
     request_bytes,
     reset,
     run_scenario,
+    serve_first_request,
+    slow_client,
     wait_until,
 )
 
@@ -157,10 +158,7 @@
 
     async def scenario() -> None:
         async with proxy_harness(tmp_path) as harness:
-            slow_client = socket.socket()
-            slow_client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
-            slow_client.connect((HOST, PROXY_PORT))
-            slow_client.sendall(request_bytes("a1"))
+            reading_client = slow_client(request_bytes("a1"))
             server_connection = await accept(harness.server_listener)
             await receive_message(server_connection)
             (connection,) = harness.proxy.listener.connections
@@ -174,8 +172,8 @@
                 other_client.close()
             assert connection.closed
             await anyio.sleep(QUIET_SECONDS)
-            slow_client.sendall(b"m" * 100)
-            assert (await receive_until_eof(slow_client)).endswith(LARGE_BODY)
+            reading_client.sendall(b"m" * 100)
+            assert (await receive_until_eof(reading_client)).endswith(LARGE_BODY)
 
     run_scenario(scenario)
 
@@ -186,17 +184,14 @@
     async def scenario() -> None:
         async with proxy_harness(tmp_path) as harness:
             limit_connections(harness, 2)
-            kept_client = client(request_bytes("a0"))
-            server_connection = await accept(harness.server_listener)
-            await receive_message(server_connection)
-            server_connection.sendall(OK)
-            assert (await receive_message(kept_client)).endswith(b"\r\n\r\nok")
+            # Both sockets stay open for as long as a name refers to them.
+            _kept_client, _first_server_connection = await serve_first_request(harness)
             harness.runtime.upstream.remove_server("s-1")
             new_client = client()
             await wait_until(lambda: len(harness.proxy.listener.connections) == 2)
             other_client = client(HEALTH_CHECK)
             assert (await receive_message(other_client)).startswith(b"HTTP/1.1 200")
-            new_client.sendall(request_bytes("a1"))
+            new_client.sendall(request_bytes("a2"))
             server_connection = await accept(harness.server_listener)
             await receive_message(server_connection)
             server_connection.sendall(OK)
@@ -213,16 +208,12 @@
 
     async def scenario() -> None:
         async with proxy_harness(tmp_path) as harness:
-            kept_client = client(request_bytes("a0"))
-            server_connection = await accept(harness.server_listener)
-            await receive_message(server_connection)
-            server_connection.sendall(OK)
-            assert (await receive_message(kept_client)).endswith(b"\r\n\r\nok")
+            _kept_client, server_connection = await serve_first_request(harness)
             # An attempt would be sent on the open server connection at once.
             await anyio.sleep(2 * CONNECTION_REUSE_DELAY_SECONDS)
             assert harness.runtime.upstream.pools["s-1"].idle
             harness.proxy.listener.accept_failed(OSError(errno.EMFILE, "planted"))
-            late_client = client(request_bytes("a1"))
+            late_client = client(request_bytes("a2"))
             leave(late_client)
             later_client = client(HEALTH_CHECK)
             assert (await receive_message(later_client)).startswith(b"HTTP/1.1 200")
--- a/tests/proxy/test_listener_shutdown.py
+++ b/tests/proxy/test_listener_shutdown.py
@@ -37,6 +37,7 @@
     receive_until_eof,
     request_bytes,
     run_scenario,
+    slow_client,
     wait_until,
 )
 
@@ -260,10 +261,7 @@
 
     async def scenario() -> None:
         async with proxy_harness(tmp_path) as harness:
-            client_socket = socket.socket()
-            client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
-            client_socket.connect((HOST, 8100))
-            client_socket.sendall(request_bytes("a1"))
+            client_socket = slow_client(request_bytes("a1"))
             server_connection = await accept(harness.server_listener)
             await receive_message(server_connection)
             (connection,) = harness.proxy.listener.connections
--- a/tests/support/pause_sweep.py
+++ b/tests/support/pause_sweep.py
@@ -143,21 +143,23 @@
     candidates: set[str] = field(default_factory=set)
     pauses: list[Pause] = field(default_factory=list)
 
+    def was_held_up(self, attempt: ObservedAttempt) -> bool:
+        """Return whether a pause held the attempt up between the decision and the writing."""
+        request = self.requests[attempt.request]
+        return any(pause.holds_up(request, attempt) for pause in self.pauses)
+
     def checked_attempts(self) -> list[ObservedAttempt]:
-        """Return the attempts that no pause held up between the decision and the writing."""
-        return [
-            attempt
-            for attempt in self.attempts
-            if not any(pause.holds_up(self.requests[attempt.request], attempt) for pause in self.pauses)
-        ]
+        """Return the attempts that no pause held up."""
+        return [attempt for attempt in self.attempts if not self.was_held_up(attempt)]
 
     def checked_traffic(self) -> ObservedTraffic:
         """Return the traffic without the attempts that a pause held up."""
-        held_up = {(attempt.server, attempt.request) for attempt in self.attempts} - {
-            (attempt.server, attempt.request) for attempt in self.checked_attempts()
+        held_up = {
+            (attempt.at, attempt.server, attempt.request)
+            for attempt in self.attempts
+            if self.was_held_up(attempt)
         }
-        sends = [send for send in self.traffic.sends if send[1:] not in held_up]
-        return replace(self.traffic, sends=sends)
+        return replace(self.traffic, sends=[send for send in self.traffic.sends if send not in held_up])
 
 
 def check_attempts_after_close(observations: Observations) -> list[str]:
--- a/tests/support/proxy_edge.py
+++ b/tests/support/proxy_edge.py
@@ -10,7 +10,7 @@
 import msgspec
 import trio.testing
 
-from gullmount.net import STREAM_ERRORS, MemoryNet, Net, Stream, TcpNet
+from gullmount.net import RECEIVE_BYTES, STREAM_ERRORS, MemoryNet, Net, Stream, TcpNet, WrappedStream
 from gullmount.proxy import ProxyConfig, ProxyInstance
 from tests.support.fault_block import reserve_loopback_block
 
@@ -197,29 +197,18 @@
         tasks.cancel_scope.cancel()
 
 
-class RecordingStream(Stream):
+class RecordingStream(WrappedStream):
     """A server's side of a connection that records the received data in the fixture."""
 
     def __init__(self, inner: Stream, port: str, fixture: ProxyFixture) -> None:
-        self.inner, self.port, self.fixture = inner, port, fixture
+        super().__init__(inner)
+        self.port, self.fixture = port, fixture
 
-    async def receive(self, max_bytes: int = 65536) -> bytes:
-        data = await self.inner.receive(max_bytes)
+    async def receive(self, max_bytes: int = RECEIVE_BYTES) -> bytes:
+        data = await super().receive(max_bytes)
         self.fixture.received.append((self.port, data))
         return data
 
-    async def send(self, item: bytes) -> None:
-        await self.inner.send(item)
-
-    async def send_eof(self) -> None:
-        await self.inner.send_eof()
-
-    async def aclose(self) -> None:
-        await self.inner.aclose()
-
-    def extra(self, *args: Any) -> Any:
-        return self.inner.extra(*args)
-
     @property
     def abort(self) -> Any:
         return self.inner.abort  # type: ignore[attr-defined]
--- a/tests/support/race_scenes.py
+++ b/tests/support/race_scenes.py
@@ -37,6 +37,7 @@
 WAIT_TIMEOUT_SECONDS = 10.0
 # Timeout of clients and routes. It is long so that no order of events depends on the speed of the machine.
 CLIENT_TIMEOUT_SECONDS = 60.0
+SLOW_CLIENT_BUFFER_BYTES = 2048
 PROXY_PORT, DISCOVERY_PORT, SERVER_PORT, OTHER_SERVER_PORT = 8100, 8101, 8200, 8201
 
 
@@ -60,6 +61,16 @@
     return connected_socket
 
 
+def slow_client(data: bytes = b"") -> socket.socket:
+    """Connect to the proxy as `client` does, with room for few unread bytes."""
+    connected_socket = socket.socket()
+    connected_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_CLIENT_BUFFER_BYTES)
+    connected_socket.connect((HOST, PROXY_PORT))
+    if data:
+        connected_socket.sendall(data)
+    return connected_socket
+
+
 def reset(sock: socket.socket) -> None:
     """Close the socket with a TCP reset (RST), regardless of unread data."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -219,6 +230,16 @@
             tasks.cancel_scope.cancel()
 
 
+async def serve_first_request(target: ProxyHarness) -> tuple[socket.socket, socket.socket]:
+    """Return the sockets of the client and the server, after the request `a1` was served on both."""
+    client_socket = client(request_bytes("a1"))
+    server_socket = await accept(target.server_listener)
+    await receive_message(server_socket)
+    server_socket.sendall(OK)
+    assert (await receive_message(client_socket)).endswith(b"\r\n\r\nok")
+    return client_socket, server_socket
+
+
 async def assert_serves_request(target: ProxyHarness, request_id: str) -> None:
     """Send an ordinary client's request and check that it is served."""
     client_socket = client(request_bytes(request_id))
