Review: case 8 dates the close by the moment at which the socket is closed

The client's close was dated when it was asked for; now once the socket is closed, which is the stricter choice.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from pathlib import Path
 
@@ -48,6 +49,8 @@
     record.add("sent_at_once", count=len(ids), first_id=ids[0])
     await asyncio.sleep(STAYS_SECONDS)
     writer.close()
+    with contextlib.suppress(OSError):
+        await writer.wait_closed()
     closed_at = record.now()
     record.add("client_closed", first_id=ids[0])
     return set(ids), closed_at
