--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,89 +1,77 @@
-"""Bad clients that send hundreds of requests at once on a connection and then close it."""
+"""Bad clients send heads that never end to an instance; the platform enforces its limit of memory."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
+import sys
 from pathlib import Path
 
-from standins2.clients import encode_request, new_id
-from standins2.deployment import Deployment, Heartbeat, has_trouble, run_case
-from standins2.http import Message
+from standins2.deployment import Deployment, has_trouble, run_case
 from standins2.record import Record
 
 FOLDER = Path(__file__).resolve().parent
 SERVERS = 5
-CLIENTS_PER_INSTANCE = 6
-BAD_CLIENTS = 12
-REQUESTS_AT_ONCE = 300
-TIMEOUT_MS = 4000
-# The work of a final-submit, 210 to 370 ms in the mean.
-WORK_SECONDS = (0.28, 0.4)
-STAYS_SECONDS = 0.1
-# No attempt may begin later than this after the client's close: 0.1 s (STANDING) and 50 ms (PROTOCOL).
-ATTEMPT_LIMIT_SECONDS = 0.15
-
-
-def work(_request: Message) -> float:
-    """Return the seconds that a request takes."""
-    return random.uniform(*WORK_SECONDS)
+CLIENTS_PER_INSTANCE = 4
+WAVES = 3
+WAVE_SECONDS = 10.0
+BAD_CLIENTS_AT_ONCE = 150
 
 
 async def send_requests(deployment: Deployment, number: int, stop: asyncio.Event) -> None:
-    """Send one request after the other to an instance, as a usual client."""
+    """Send one request after the other to an instance."""
     client = deployment.client(number)
     while not stop.is_set():
         await client.request("item-fetch", "GET", 2000, key=str(random.randint(0, 5000)))
-        await asyncio.sleep(random.uniform(0.1, 0.5))
+        await asyncio.sleep(random.uniform(0.05, 0.2))
 
 
-async def send_many_and_leave(deployment: Deployment, record: Record) -> tuple[set[str], float]:
-    """Send requests at once and close the connection; return their ids and the time of the close."""
-    host, port = deployment.instances[0].address.split(":")
-    _, writer = await asyncio.open_connection(host, int(port))
-    ids = [new_id() for _ in range(REQUESTS_AT_ONCE if has_trouble() else 1)]
-    deployment.sent_ids.update(ids)
-    for request_id in ids:
-        writer.write(encode_request(request_id, "final-submit", "POST", TIMEOUT_MS, body=b"answers"))
-    record.add("sent_at_once", count=len(ids), first_id=ids[0])
-    await asyncio.sleep(STAYS_SECONDS)
-    writer.close()
-    with contextlib.suppress(OSError):
-        await writer.wait_closed()
-    closed_at = record.now()
-    record.add("client_closed", first_id=ids[0])
-    return set(ids), closed_at
+async def send_wave(deployment: Deployment, record: Record) -> None:
+    """Let the bad clients come to the first instance, and wait until they have left."""
+    address = deployment.instances[0].address
+    record.add("bad_clients", count=BAD_CLIENTS_AT_ONCE, instance=address)
+    bad_clients = await asyncio.create_subprocess_exec(
+        sys.executable, str(FOLDER / "bad_clients.py"), address, str(BAD_CLIENTS_AT_ONCE)
+    )
+    await asyncio.wait_for(bad_clients.wait(), 2 * WAVE_SECONDS)
 
 
 async def play(deployment: Deployment, record: Record) -> list[str]:
-    """Return a line for each attempt that began too late after its client's close."""
+    """Return a line for each instance that was killed for memory or that has ended by itself."""
     for _ in range(SERVERS):
-        deployment.add_box(work=work)
+        deployment.add_box()
     await deployment.start()
-    stop, heartbeat = asyncio.Event(), Heartbeat(record)
-    beating = asyncio.create_task(heartbeat.run())
+    watchers = [
+        asyncio.create_task(instance.enforce_memory_limit(record)) for instance in deployment.instances
+    ]
+    stop = asyncio.Event()
     tasks = [
         asyncio.create_task(send_requests(deployment, number, stop))
         for number in range(deployment.count)
         for _ in range(CLIENTS_PER_INSTANCE)
     ]
-    await asyncio.sleep(3)
-    gone = []
-    for _ in range(BAD_CLIENTS):
-        gone.append(await send_many_and_leave(deployment, record))
-        await asyncio.sleep(1.5)
+    await asyncio.sleep(2)
+    for _ in range(WAVES):
+        if has_trouble() and not record.find("killed_for_memory"):
+            await send_wave(deployment, record)
+        await asyncio.sleep(WAVE_SECONDS / 2)
+    breaches = [
+        f"{event['instance']} was killed at {event['at']}: it had {event['mebibytes']} MiB, "
+        f"the limit is {event['limit']}"
+        for event in record.find("killed_for_memory")
+    ]
+    breaches += [
+        f"{instance.name} has ended by itself"
+        for instance in deployment.instances
+        if instance.process is not None
+        and instance.process.returncode is not None
+        and not record.find("killed_for_memory", instance=instance.name)
+    ]
     stop.set()
     await asyncio.gather(*tasks)
-    beating.cancel()
-    heartbeat.check()
-    return [
-        f"{event['line']} with id {event['id']} began at {event['box']} "
-        f"{event['began_at'] - closed_at:.2f} s after its client had closed the connection"
-        for ids, closed_at in gone
-        for event in record.find("arrived")
-        if event["id"] in ids and event["began_at"] > closed_at + ATTEMPT_LIMIT_SECONDS
-    ]
+    for watcher in watchers:
+        watcher.cancel()
+    return breaches
 
 
 if __name__ == "__main__":
--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -112,6 +112,10 @@
     async def start(self) -> None:
         """Start all parties and wait until the instances are ready."""
         await self.start_services()
+        await self.start_instances()
+
+    async def start_instances(self) -> None:
+        """Start the instances and wait until they are ready."""
         self.instances = [Instance(self.folder, self.configuration(number)) for number in range(self.count)]
         await asyncio.gather(*(instance.start() for instance in self.instances))
         self.record.add("ready", instances=[instance.address for instance in self.instances])
