Review: clients of the stand-ins send no body with GET

Until now they wrote the body of a POST behind a GET as well, without a length. The instance rightly took it for the beginning of the next request on the connection and rejected that with 400: a third of the requests of cases 7 and 10. Cases 6, 8 and 9 send no body with GET; their bytes are the same as before.

--- a/review/standins2/clients.py
+++ b/review/standins2/clients.py
@@ -22,7 +22,7 @@
 def encode_request(
     request_id: str, route: str, method: str, timeout_ms: int, key: str | None = None, body: bytes = b""
 ) -> bytes:
-    """Return the bytes of a request in the form of the protocol page."""
+    """Return the bytes of a request in the form of the protocol page; a GET has no body."""
     lines = [
         f"{method} /{route} HTTP/1.1",
         "Host: backend.local",
@@ -32,7 +32,9 @@
     ]
     if key is not None:
         lines.append(f"Affinity-Key: {key}")
-    if method != "GET":
+    if method == "GET":
+        body = b""
+    else:
         lines.append(f"Content-Length: {len(body)}")
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
