--- a/review/standins2/instance.py
+++ b/review/standins2/instance.py
@@ -43,7 +43,7 @@
 def settings(number: int, count: int, **specifics: Any) -> dict[str, Any]:
     """Return the settings of one instance of a small deployment that lists are pushed to."""
     return {
-        "Azs": ["a"],
+        "Azs": ["a", "b"],
         "Ceilings": {
             "Cancelling": True, "ConnIdleUs": 15_000_000, "ConnectTimeoutUs": 250_000,
             "CpuUsPerRequest": 0.0, "CpuUsPerS": 500_000, "MaxAttempts": 4, "MaxOpen": 20000,
